Start the workspace: design page, core, platform contracts, peer messages

Cause: nothing exists yet; every later part needs the interfaces that hold between the members and one command that checks formatter, linter and tests. Change: docs/design.md with the design and its reasons; 15 members as namespace packages with pinned dependencies; core (error table, event log, hashing, metrics); platform contracts; peer.thrift with generated code; test runner that gives each test file a process of its own. Ruled out: one package for all (callers' library would pull in eventlet and thrift); pytest (the house style asks for unittest). Conclusion: the members can now be built side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# Commands of the project; README.md explains them.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+MEMBERS := $(sort $(wildcard libs/*))
+SOURCES := $(subst $(eval ) ,:,$(addsuffix /src,$(addprefix $(CURDIR)/,$(MEMBERS))))
+SEED ?= 1
+EXAMPLES ?= 200
+export PYTHONPATH := $(SOURCES)
+export PYTHONHASHSEED := 0
+
+.PHONY: env test lint format fuzz bench demo thrift clean
+
+env: $(VENV)/.ready
+
+$(VENV)/.ready: requirements.txt $(addsuffix /pyproject.toml,$(MEMBERS))
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps \
+	  --no-build-isolation $(addprefix -e ./,$(MEMBERS))
+	touch $@
+
+test: env
+	$(BIN)/python tools/run_tests.py
+
+lint: env
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/python tools/check_imports.py
+
+format: env
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+fuzz: env
+	DANDELION_FUZZ_SEED=$(SEED) DANDELION_FUZZ_EXAMPLES=$(EXAMPLES) \
+	  $(BIN)/python tools/run_tests.py --fuzz-only
+
+bench: env
+	$(BIN)/python tools/bench.py --seed $(SEED)
+
+demo: env
+	$(BIN)/python tools/demo.py
+
+thrift:
+	rm -rf build/thrift && mkdir -p build/thrift
+	thrift --gen py:slots -out build/thrift libs/wire/peer.thrift
+	cp build/thrift/dandelionlead/wire/gen/*.py \
+	  libs/wire/src/dandelionlead/wire/gen/
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/libs/admission/src/dandelionlead/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Memory-based admission, endpoint limits, ownership, grants and fairness."""
--- /dev/null
+++ b/libs/client/src/dandelionlead/client/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' library: address list, stream resume and safe retries."""
--- /dev/null
+++ b/libs/config/src/dandelionlead/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings and configuration files: parsing, checking, model and parts."""
--- /dev/null
+++ b/libs/core/src/dandelionlead/core/__init__.py
@@ -0,0 +1,1 @@
+"""Error kinds, clocks, event log, hashing and metrics of all members."""
--- /dev/null
+++ b/libs/core/src/dandelionlead/core/events.py
@@ -0,0 +1,87 @@
+"""One key=value log line for each event, kept in a ring for traces."""
+
+from __future__ import annotations
+
+import collections
+import sys
+
+import logbook
+
+from dandelionlead.core import clock
+
+# At one line of 200 bytes for 37.5 requests a second and three events a
+# request, the ring covers about 70 seconds and 1.6 MB.
+RING_EVENTS = 8192
+
+_LINE_FORMAT = "{record.message}"
+
+
+class Event:
+    """One event of this process.
+
+    Attributes:
+        at_unix_s: Seconds since the epoch.
+        request_id: Request that the event belongs to; empty if none.
+        line: The log line without its time.
+    """
+
+    __slots__ = ("at_unix_s", "request_id", "line")
+
+    def __init__(self, at_unix_s: float, request_id: str, line: str) -> None:
+        self.at_unix_s = at_unix_s
+        self.request_id = request_id
+        self.line = line
+
+
+class Log:
+    """Writes events of one process and remembers the latest of them."""
+
+    def __init__(self, process: str, *, ring_events: int = RING_EVENTS) -> None:
+        self._process = process
+        self._logger = logbook.Logger(process)
+        self._ring: collections.deque[Event] = collections.deque(
+            maxlen=ring_events
+        )
+
+    def event(self, name: str, *, req: str = "", **fields: object) -> None:
+        """Writes one line.
+
+        Args:
+            name: Event name, lower case with underscores.
+            req: Request id, if the event belongs to a request.
+            **fields: Further values; written in the order given.
+        """
+        now = clock.unix_time()
+        pairs = {"event": name, "process": self._process}
+        if req:
+            pairs["req"] = req
+        pairs.update(fields)
+        line = " ".join(f"{key}={_quote(val)}" for key, val in pairs.items())
+        self._ring.append(Event(now, req, line))
+        self._logger.info("{}", f"ts={now:.6f} {line}")
+
+    def trace(self, request_id: str) -> list[Event]:
+        """Returns the remembered events of one request, oldest first."""
+        return [item for item in self._ring if item.request_id == request_id]
+
+    def latest(self, count: int) -> list[Event]:
+        """Returns the last `count` events, oldest first."""
+        return list(self._ring)[-count:]
+
+
+def log_to_stderr() -> None:
+    """Sends all log lines to standard error; called once by programs."""
+    handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO)
+    handler.format_string = _LINE_FORMAT
+    handler.push_application()
+
+
+def _quote(value: object) -> str:
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    if text and not any(char in text for char in ' "=\n\r\t'):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    escaped = escaped.replace("\n", "\\n").replace("\r", "\\r")
+    return f'"{escaped}"'
--- /dev/null
+++ b/libs/ctl/src/dandelionlead/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The dandelionctl command line."""
--- /dev/null
+++ b/libs/entry/src/dandelionlead/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The dandelion-entry program."""
--- /dev/null
+++ b/libs/membership/src/dandelionlead/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members, freshness of rules and spread of the configuration."""
--- /dev/null
+++ b/libs/platform/src/dandelionlead/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: tables, objects, instance list, weights."""
--- /dev/null
+++ b/libs/rollout/src/dandelionlead/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Version evidence, sequential judgement, share schedule and leases."""
--- /dev/null
+++ b/libs/routing/src/dandelionlead/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of endpoint, retry budgets and crash suspects."""
--- /dev/null
+++ b/libs/standins/src/dandelionlead/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, plain services and the platform."""
--- /dev/null
+++ b/libs/steward/src/dandelionlead/steward/__init__.py
@@ -0,0 +1,1 @@
+"""The dandelion-steward program."""
--- /dev/null
+++ b/libs/streams/src/dandelionlead/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Resume tokens and the relay of token streams."""
--- /dev/null
+++ b/libs/wire/src/dandelionlead/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between processes: thrift code, authenticated server and client."""
