--- /dev/null
+++ b/libs/admission/src/dandelionlead/admission/lengths.py
@@ -0,0 +1,291 @@
+"""Memory of generations of unknown length: what to reserve for them.
+
+Output lengths are learned online in log-spaced histograms, per route and team,
+with a fallback to the route and then to a prior. The remaining length of a
+running generation is conditional on what it has generated so far.
+"""
+
+from __future__ import annotations
+
+import abc
+import bisect
+import itertools
+import math
+from collections.abc import Iterable
+from collections.abc import Sequence
+
+# Four buckets per doubling: a length is known to within 19%.
+_BUCKETS_PER_DOUBLING = 4
+_LONGEST = 131_072
+# Weight of the next wider distribution, in observations.
+_FALLBACK_WEIGHT = 16.0
+# Counts are halved beyond this sum, so that a change of lengths is learned.
+_MEMORY = 2_000.0
+_EDGES = [0.0] + [
+    2.0 ** (step / _BUCKETS_PER_DOUBLING)
+    for step in range(int(math.log2(_LONGEST)) * _BUCKETS_PER_DOUBLING + 1)
+]
+_BUCKETS = len(_EDGES) - 1
+_MIDDLES = [(low + high) / 2 for low, high in itertools.pairwise(_EDGES)]
+# Median and spread of the prior, where the configuration gives none.
+_PRIOR_MEDIAN = 256.0
+_PRIOR_SIGMA = 1.5
+
+
+class Work:
+    """A generation as far as its memory is concerned.
+
+    Attributes:
+        route: Route of the request.
+        team: Team of the request.
+        prompt_tokens: Length of the prompt.
+        max_tokens: Most output tokens that the request allows.
+        generated: Output tokens so far.
+    """
+
+    __slots__ = ("route", "team", "prompt_tokens", "max_tokens", "generated")
+
+    def __init__(
+        self,
+        route: str,
+        team: str,
+        prompt_tokens: int,
+        max_tokens: int,
+        generated: int = 0,
+    ) -> None:
+        self.route = route
+        self.team = team
+        self.prompt_tokens = prompt_tokens
+        self.max_tokens = max_tokens
+        self.generated = generated
+
+
+class Remaining:
+    """Remaining output tokens of a generation: mean and variance."""
+
+    __slots__ = ("mean", "variance")
+
+    def __init__(self, mean: float, variance: float) -> None:
+        self.mean = mean
+        self.variance = variance
+
+
+class Lengths:
+    """Online distributions of output lengths."""
+
+    def __init__(
+        self, *, median: float = _PRIOR_MEDIAN, sigma: float = _PRIOR_SIGMA
+    ) -> None:
+        """Starts with a log-normal prior.
+
+        Args:
+            median: Median output length of the prior, in tokens.
+            sigma: Standard deviation of the logarithm of the length.
+        """
+        self._prior = _Histogram(_log_normal(median, sigma))
+        self._routes: dict[str, _Histogram] = {}
+        self._teams: dict[tuple[str, str], _Histogram] = {}
+        self._mixed: dict[tuple[str, str], _Mixture] = {}
+
+    def observe(self, route: str, team: str, output_tokens: int) -> None:
+        """Learns the output length of a generation that ended by itself."""
+        bucket = _bucket(output_tokens)
+        self._routes.setdefault(route, _Histogram()).add(bucket)
+        self._teams.setdefault((route, team), _Histogram()).add(bucket)
+        self._mixed.pop((route, team), None)
+
+    def remaining(
+        self, route: str, team: str, generated: int, max_tokens: int
+    ) -> Remaining:
+        """Returns what is left to generate, given what was generated."""
+        return self._mixture(route, team).remaining(generated, max_tokens)
+
+    def quantile(
+        self, route: str, team: str, generated: int, quantile: float
+    ) -> float:
+        """Returns a quantile (0 to 1) of the remaining length in tokens."""
+        return self._mixture(route, team).quantile(generated, quantile)
+
+    def _mixture(self, route: str, team: str) -> _Mixture:
+        key = (route, team)
+        mixture = self._mixed.get(key)
+        if mixture is None:
+            weights = self._prior.normalised(1.0)
+            for learned in (self._routes.get(route), self._teams.get(key)):
+                if learned is not None:
+                    weights = learned.mixed_with(weights)
+            mixture = _Mixture(weights)
+            self._mixed[key] = mixture
+        return mixture
+
+
+class ReservationPolicy(abc.ABC):
+    """Decides the units that generations reserve together."""
+
+    @abc.abstractmethod
+    def reserve(self, running: Sequence[Work]) -> int:
+        """Returns the units reserved for all these generations together."""
+
+    def needed(self, running: Sequence[Work], new: Work) -> int:
+        """Returns the units that one more generation needs, at least 1."""
+        more = self.reserve([*running, new]) - self.reserve(running)
+        return max(1, more)
+
+
+class ByLength(ReservationPolicy):
+    """Sum of expected lengths and k standard deviations of the sum."""
+
+    def __init__(self, lengths: Lengths, *, k: float = 1.0) -> None:
+        self._lengths = lengths
+        self._k = k
+
+    def reserve(self, running: Sequence[Work]) -> int:
+        """Returns the units reserved for all these generations together."""
+        mean = 0.0
+        variance = 0.0
+        for work in running:
+            left = self._lengths.remaining(
+                work.route, work.team, work.generated, work.max_tokens
+            )
+            mean += work.prompt_tokens + work.generated + left.mean
+            variance += left.variance
+        return math.ceil(mean + self._k * math.sqrt(variance))
+
+
+class ByCount(ReservationPolicy):
+    """Baseline: the same units for every generation."""
+
+    def __init__(self, units_each: int) -> None:
+        self._units_each = units_each
+
+    def reserve(self, running: Sequence[Work]) -> int:
+        """Returns the units reserved for all these generations together."""
+        return self._units_each * len(running)
+
+
+class ByMaxTokens(ReservationPolicy):
+    """Baseline: the longest output that each request allows."""
+
+    def reserve(self, running: Sequence[Work]) -> int:
+        """Returns the units reserved for all these generations together."""
+        return sum(work.prompt_tokens + work.max_tokens for work in running)
+
+
+class ByReportedLoad(ReservationPolicy):
+    """Baseline: memory of the lagging load report, and new prompts.
+
+    Generations that started after the report's snapshot count with their
+    prompt only, as far as the report can know.
+    """
+
+    def __init__(self) -> None:
+        self._used = 0
+        self._known: set[int] = set()
+
+    def observe_load(self, used: int, running: Iterable[Work]) -> None:
+        """Takes in a load report that shows these generations."""
+        self._used = used
+        self._known = {id(work) for work in running}
+
+    def reserve(self, running: Sequence[Work]) -> int:
+        """Returns the units reserved for all these generations together."""
+        fresh = (work for work in running if id(work) not in self._known)
+        return self._used + sum(work.prompt_tokens for work in fresh)
+
+
+class _Histogram:
+    """Decaying counts of lengths."""
+
+    __slots__ = ("counts", "total")
+
+    def __init__(self, counts: list[float] | None = None) -> None:
+        self.counts = counts or [0.0] * _BUCKETS
+        self.total = sum(self.counts)
+
+    def add(self, bucket: int) -> None:
+        self.counts[bucket] += 1
+        self.total += 1
+        if self.total > _MEMORY:
+            self.counts = [count / 2 for count in self.counts]
+            self.total = sum(self.counts)
+
+    def normalised(self, total: float) -> list[float]:
+        return [count * total / self.total for count in self.counts]
+
+    def mixed_with(self, wider: list[float]) -> list[float]:
+        total = self.total + _FALLBACK_WEIGHT
+        return [
+            (count + _FALLBACK_WEIGHT * other) / total
+            for count, other in zip(self.counts, wider, strict=True)
+        ]
+
+
+class _Mixture:
+    """Conditional moments of one distribution, prepared as suffix sums."""
+
+    __slots__ = ("weights", "tail", "tail_mean", "tail_square")
+
+    def __init__(self, weights: list[float]) -> None:
+        self.weights = weights
+        self.tail = [0.0] * (_BUCKETS + 1)
+        self.tail_mean = [0.0] * (_BUCKETS + 1)
+        self.tail_square = [0.0] * (_BUCKETS + 1)
+        for index in range(_BUCKETS - 1, -1, -1):
+            weight = weights[index]
+            middle = _MIDDLES[index]
+            self.tail[index] = self.tail[index + 1] + weight
+            self.tail_mean[index] = self.tail_mean[index + 1] + weight * middle
+            self.tail_square[index] = (
+                self.tail_square[index + 1] + weight * middle * middle
+            )
+
+    def remaining(self, generated: int, max_tokens: int) -> Remaining:
+        """Returns the moments of what is left, cut at `max_tokens`."""
+        left_most = max(0.0, float(max_tokens - generated))
+        first = self._first(generated)
+        last = max(first, _bucket(max_tokens))
+        chance = self.tail[first]
+        if chance <= 0 or not left_most:
+            return Remaining(left_most / 2, left_most * left_most / 12)
+        inside = self.tail[first] - self.tail[last]
+        mean = self.tail_mean[first] - self.tail_mean[last]
+        square = self.tail_square[first] - self.tail_square[last]
+        mean += self.tail[last] * max_tokens
+        square += self.tail[last] * max_tokens * max_tokens
+        whole = inside + self.tail[last]
+        mean /= whole
+        variance = max(0.0, square / whole - mean * mean)
+        return Remaining(
+            min(left_most, max(1.0, mean - generated)),
+            min(variance, left_most * left_most / 4),
+        )
+
+    def quantile(self, generated: int, quantile: float) -> float:
+        first = self._first(generated)
+        wanted = self.tail[first] * (1 - quantile)
+        for index in range(first, _BUCKETS):
+            if self.tail[index + 1] <= wanted:
+                return max(1.0, _EDGES[index + 1] - generated)
+        return max(1.0, _EDGES[-1] - generated)
+
+    def _first(self, generated: int) -> int:
+        """Returns the first bucket whose lengths are mostly still possible."""
+        return bisect.bisect_left(_MIDDLES, generated, hi=_BUCKETS - 1)
+
+
+def _bucket(tokens: int) -> int:
+    position = bisect.bisect_right(_EDGES, tokens) - 1
+    return min(max(position, 0), _BUCKETS - 1)
+
+
+def _log_normal(median: float, sigma: float) -> list[float]:
+    def below(edge: float) -> float:
+        if edge <= 0:
+            return 0.0
+        score = math.log(edge / median) / (sigma * math.sqrt(2))
+        return 0.5 * (1 + math.erf(score))
+
+    return [
+        below(high) - below(low) + 1e-12
+        for low, high in itertools.pairwise(_EDGES)
+    ]
--- /dev/null
+++ b/libs/admission/src/dandelionlead/admission/overload.py
@@ -0,0 +1,117 @@
+"""Refuses early and honestly what could not be started in time anyway.
+
+The wait of a new request is the units that are served before it, over the rate
+at which units have been started lately. A request that would miss its deadline
+is refused at once, with the time after which a retry makes sense, instead of
+waiting in vain while it delays others.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from dandelionlead.core import errors
+
+if TYPE_CHECKING:
+    from dandelionlead.admission import fairness
+
+# Time constant of the rate at which units are started.
+_RATE_S = 4.0
+# Part of the time to the deadline that the estimated wait may take: estimates
+# are off by a third in bursts, and the request also has to run.
+_PATIENCE = 0.7
+# Below this wait nothing is refused.
+_SHORT_WAIT_S = 0.25
+# A queue that has had no start for so long has no rate to speak of.
+_STALLED_S = 2.0
+_LONGEST_RETRY_S = 30.0
+_NEVER = float("-inf")
+
+
+class Overload:
+    """Estimates waits at one entry for one model, and refuses by them."""
+
+    def __init__(self, *, least_run_s: float = 0.0) -> None:
+        """Starts without an estimate, and refuses nothing until there is one.
+
+        Args:
+            least_run_s: Seconds before its deadline at which a request must
+                be started to be of use.
+        """
+        self._least_run_s = least_run_s
+        self._rate = 0.0
+        self._rate_at = _NEVER
+        self._first_at = _NEVER
+        # Whether starts are limited by units now: else the rate only shows
+        # the demand.
+        self._busy_since: float | None = None
+
+    def started(self, units: int, now: float) -> None:
+        """Learns that a request of so many units was started."""
+        if self._first_at == _NEVER:
+            self._first_at = now
+        self._rate = self.rate(now) + units / _RATE_S
+        self._rate_at = now
+
+    def rate(self, now: float) -> float:
+        """Returns units started per second, lately."""
+        if self._rate_at == _NEVER:
+            return 0.0
+        return self._rate * math.exp((self._rate_at - now) / _RATE_S)
+
+    def wait_s(self, units_ahead: float, now: float) -> float:
+        """Returns the estimated wait behind so many units."""
+        if units_ahead <= 0 or self._first_at == _NEVER:
+            return 0.0
+        # The average needs some time to rise to the rate.
+        warm = 1 - math.exp((self._first_at - now) / _RATE_S)
+        rate = self.rate(now) / max(warm, 0.05)
+        if rate <= 0:
+            return math.inf
+        return units_ahead / rate
+
+    def refusal(
+        self, queue: fairness.FairQueue, item: fairness.Waiting, now: float
+    ) -> errors.Failure | None:
+        """Returns why a request should not be queued, or None."""
+        left_s = item.deadline - now - self._least_run_s
+        if left_s <= 0:
+            return errors.Failure(
+                errors.Kind.DEADLINE_EXCEEDED,
+                "The deadline leaves no time to run the request.",
+            )
+        wait_s = self.wait_s(queue.units_ahead(item.team, item.units), now)
+        if wait_s <= max(_SHORT_WAIT_S, left_s * _PATIENCE):
+            return None
+        retry_after_s = min(_LONGEST_RETRY_S, max(1.0, wait_s - left_s))
+        if queue.is_over_share(item.team):
+            return errors.Failure(
+                errors.Kind.OVER_SHARE,
+                f"Team {item.team} would wait {wait_s:.1f} s for its share, "
+                f"and the deadline is in {left_s:.1f} s.",
+                retry_after_s=retry_after_s,
+            )
+        return errors.Failure(
+            errors.Kind.OVERLOADED,
+            f"The wait would be {wait_s:.1f} s, and the deadline is in "
+            f"{left_s:.1f} s.",
+            retry_after_s=retry_after_s,
+        )
+
+    def shed(
+        self, queue: fairness.FairQueue, now: float
+    ) -> list[tuple[fairness.Waiting, errors.Failure]]:
+        """Removes what cannot be started in time any more."""
+        late = queue.expired(now, self._least_run_s)
+        return [
+            (
+                item,
+                errors.Failure(
+                    errors.Kind.DEADLINE_EXCEEDED,
+                    f"The request waited {now - item.enqueued_at:.1f} s and "
+                    "was not started.",
+                ),
+            )
+            for item in late
+        ]
