--- a/libs/standins/src/dandelionlead/standins/service_http.py
+++ b/libs/standins/src/dandelionlead/standins/service_http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Iterator
 from typing import Any
 
 import eventlet
@@ -83,9 +82,4 @@
         "Content-Length": str(len(data)),
         "X-Request-Id": answer.request_id,
     }
-    return web.Response(200, _first_half(data), headers)
-
-
-def _first_half(data: bytes) -> Iterator[bytes]:
-    yield data[: len(data) // 2]
-    raise web.AbortError
+    return web.Response(200, web.first_half(data), headers)
--- a/libs/standins/src/dandelionlead/standins/web.py
+++ b/libs/standins/src/dandelionlead/standins/web.py
@@ -7,6 +7,7 @@
 import urllib.parse
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
 from typing import Any
 
 import eventlet
@@ -145,6 +146,12 @@
     return json_response(status, {"error": message})
 
 
+def first_half(data: bytes) -> Iterator[bytes]:
+    """Yields the first half of a body, then closes the connection."""
+    yield data[: len(data) // 2]
+    raise AbortError
+
+
 def application(handler: Handler) -> Callable[..., Iterable[bytes]]:
     """Wraps a handler as a WSGI application."""
 
