ctl: make the fuzz test of apply reach writes in doubt

Change: a rule serves all attempts of one operator with one fault, faults and plain answers are separate rules, and reads fail by outages only. No check was removed. Ruled out: raising the number of examples, since the profile sets it.

--- a/libs/ctl/tests/test_apply_fuzz.py
+++ b/libs/ctl/tests/test_apply_fuzz.py
@@ -21,10 +21,11 @@
 _LOST_REQUEST = "lost request"
 _LOST_ANSWER = "lost answer"
 _LATE = "late commit"
-_FAULTS = (_OK, _OUTAGE, _LOST_REQUEST, _LOST_ANSWER, _LATE)
+# A read is lost by an outage only; the other faults are those of writes.
+_FAULTS = (_OUTAGE, _LOST_REQUEST, _LOST_ANSWER, _LATE)
 _CALL_S = 0.05
-_LIMIT_S = 1.0
-_MAX_OPERATORS = 4
+_LIMIT_S = 2.0
+_MAX_OPERATORS = 3
 
 
 class Objects(api.ObjectStore):
@@ -122,47 +123,49 @@
     def _active(self):
         return [item for item in self.operators if item.result is None]
 
+    def _pick(self, index):
+        active = self._active()
+        return active[index % len(active)]
+
     @stateful.precondition(lambda self: len(self._active()) < _MAX_OPERATORS)
     @stateful.rule(
-        content=st.integers(0, 3),
-        if_version=st.one_of(st.none(), st.none(), st.integers(0, 3)),
+        content=st.integers(0, 9),
+        if_version=st.one_of(st.none(), st.integers(0, 3)),
+        failing=st.integers(0, 4),
     )
-    def start(self, content, if_version):
+    def start(self, content, if_version, failing):
+        self.objects.failing = failing
         parts = {"models": b"%d" % content, "teams/00": b"same"}
         number = len(self.operators)
-        self.operators.append(
-            Operator(number, self.objects, parts, if_version)
-        )
+        self.operators.append(Operator(number, self.objects, parts, if_version))
+
+    @stateful.precondition(lambda self: self._active())
+    @stateful.rule(index=st.integers(0, 9))
+    def serve(self, index):
+        self._serve(self._pick(index), _OK)
 
     @stateful.precondition(lambda self: self._active())
     @stateful.rule(index=st.integers(0, 9), fault=st.sampled_from(_FAULTS))
-    def serve(self, index, fault):
-        active = self._active()
-        self._serve(active[index % len(active)], fault)
+    def serve_with_fault(self, index, fault):
+        self._serve(self._pick(index), fault)
 
     @stateful.precondition(lambda self: self._active())
-    @stateful.rule(index=st.integers(0, 9), calls=st.integers(2, 6))
-    def serve_several(self, index, calls):
-        active = self._active()
-        operator = active[index % len(active)]
-        for _ in range(calls):
-            if operator.result is None:
-                self._serve(operator, _OK)
+    @stateful.rule(index=st.integers(0, 9), fault=st.sampled_from(_FAULTS))
+    def fail_all_attempts(self, index, fault):
+        operator = self._pick(index)
+        while operator.result is None:
+            self._serve(operator, fault)
 
     @stateful.precondition(lambda self: self.late)
     @stateful.rule(index=st.integers(0, 9))
     def land(self, index):
         self.head.write(self.late.pop(index % len(self.late)))
 
-    @stateful.rule(calls=st.integers(1, 8))
-    def fail_objects(self, calls):
-        self.objects.failing = calls
-
     def _serve(self, operator, fault):
         name, op = operator.pending
         operator.failed |= fault != _OK
         if name == "read":
-            lost = fault != _OK
+            lost = fault == _OUTAGE
             operator.serve(_unavailable() if lost else [self.head.row])
             return
         operator.write_faults += fault not in (_OK, _OUTAGE)
