--- a/libs/config/src/dandelionlead/config/parts.py
+++ b/libs/config/src/dandelionlead/config/parts.py
@@ -47,12 +47,10 @@
     """
     plain: dict[str, Any] = {}
     for name, data in parts.items():
-        section = name.partition("/")[0]
-        try:
-            content = json.loads(data)
-            plain.setdefault(section, {}).update(content)
-        except (ValueError, TypeError) as exc:
-            return _failure(f"part {name} is not a JSON object: {exc}")
+        content = _decode(data)
+        if content is None:
+            return _failure(f"part {name} is not a JSON object")
+        plain.setdefault(name.partition("/")[0], {}).update(content)
     missing = [name for name in model.Operators.__slots__ if name not in plain]
     missing = [name for name in missing if name not in _BUCKETS]
     if missing:
@@ -94,5 +92,13 @@
     return text.encode()
 
 
+def _decode(data: bytes) -> dict[str, Any] | None:
+    try:
+        content = json.loads(data)
+    except ValueError:
+        return None
+    return content if isinstance(content, dict) else None
+
+
 def _failure(reason: str) -> errors.Failure:
     return errors.Failure(errors.Kind.BAD_CONFIG, reason)
