config: read plain JSON with the standard parser first

Change: text in plain JSON is parsed by the standard library; only when it has a fault, or is not plain JSON, json5 reads it for the lines.

--- a/libs/config/src/dandelionlead/config/source.py
+++ b/libs/config/src/dandelionlead/config/source.py
@@ -1,12 +1,15 @@
 """Reads JSON with comments into a tree that knows the line of each value.
 
 The parser is json5's own. Its result has no positions, so a subclass notes
-the offset at which each value and key starts.
+the offset at which each value and key starts. It needs 19 s for a file of the
+design scale (2.4 MB), so text in plain JSON is tried with the standard parser
+first; its tree has no lines and serves only for files without faults.
 """
 
 from __future__ import annotations
 
 import bisect
+import json
 import math
 from typing import Any
 
@@ -20,7 +23,7 @@
 NULL = "null"
 
 # The operators' file of the design scale (10,000 teams, 3,600 workers) has
-# about 3 MB.
+# 2.4 MB.
 MAX_BYTES = 8 * 1024 * 1024
 
 _LITERALS = {
@@ -29,6 +32,14 @@
     "False": (BOOLEAN, False),
 }
 
+_KINDS = {
+    str: STRING,
+    bool: BOOLEAN,
+    int: NUMBER,
+    float: NUMBER,
+    type(None): NULL,
+}
+
 
 class Node:
     """One value of the file.
@@ -94,6 +105,20 @@
     return _convert(raw, lines)
 
 
+def parse_plain_json(text: str) -> Node | None:
+    """Returns the tree of a text in plain JSON, with all lines 0.
+
+    Returns:
+        The tree, or None if only `parse` can tell what the text is.
+    """
+    if len(text) > MAX_BYTES:
+        return None
+    try:
+        return _wrap(json.loads(text, object_pairs_hook=_wrap_object))
+    except (ValueError, RecursionError):
+        return None
+
+
 class _Lines:
     """Line numbers of offsets in a text."""
 
@@ -135,6 +160,19 @@
             self.val = _Positioned(self.val, offset)
 
 
+def _wrap(value: Any) -> Node:
+    if isinstance(value, Node):
+        return value
+    if isinstance(value, list):
+        return Node(ARRAY, [_wrap(item) for item in value], 0)
+    return Node(_KINDS[type(value)], value, 0)
+
+
+def _wrap_object(pairs: list[tuple[str, Any]]) -> Node:
+    members = [Member(key, _wrap(value), 0) for key, value in pairs]
+    return Node(OBJECT, members, 0)
+
+
 def _convert(item: _Positioned, lines: _Lines) -> Node:
     line = lines.number(item.offset)
     if isinstance(item.raw, str):
--- a/libs/config/tests/test_check.py
+++ b/libs/config/tests/test_check.py
@@ -1,11 +1,13 @@
 """Guards against faults that are missed, on a wrong line or without help."""
 
 import pathlib
+import re
 import unittest
 
 from dandelionlead import config
 from dandelionlead.config import faults
 from dandelionlead.config import model
+from dandelionlead.config import source
 
 _EXAMPLES = pathlib.Path(__file__).resolve().parents[3] / "examples"
 _DIGEST = "a" * 64
@@ -195,6 +197,15 @@
                 found = config.load_operators(text, "f.jsonc")
                 self.assertIsInstance(found[0], faults.Fault)
 
+    def test_plain_json_is_read_as_json5_is(self):
+        plain = re.sub(r",(\s*})", r"\1", _OPERATORS.replace("// Comment.", ""))
+        self.assertIsNotNone(source.parse_plain_json(plain))
+        faulty = plain.replace('"v1",', '"v3",')
+        for text in (plain, faulty, plain.replace("draft", "lookup")):
+            fast = config.load_operators(text, "f")
+            slow = config.load_operators(f"{text}// Comment.", "f")
+            self.assertEqual(str(fast), str(slow))
+
     def test_examples_load(self):
         sizes = {"haddad": (4, 9, 4, 10), "quillacaya": (3, 6, 3, 10)}
         for user, size in sizes.items():
