ctl: show the listed state of each process that is notified

Change: confirmations carry the state from the instance list. A test compares the guide's exit codes with the program's. Ruled out: not requiring leaving processes to confirm, since they take new work for some seconds.

--- a/libs/ctl/src/dandelionlead/ctl/applying.py
+++ b/libs/ctl/src/dandelionlead/ctl/applying.py
@@ -77,7 +77,7 @@
     timing: apply.Timing,
 ) -> answers.Answer:
     accepted = result.head
-    plain = {
+    plain: dict[str, Any] = {
         "result": "accepted",
         "version": accepted.version,
         "apply_id": accepted.apply_id,
@@ -115,13 +115,13 @@
     accepted: head.Head, found: list[confirm.Confirmation]
 ) -> list[str]:
     confirmed = sum(item.confirmed for item in found)
-    lines: list[Any] = [
+    lines = [
         f"{confirmed} of {len(found)} processes have version "
         f"{accepted.version} or a later one in force."
     ]
     for item in found:
-        if item.confirmed:
-            lines.append(f"  {item.name}: version {item.version}.")
-        else:
-            lines.append(f"  {item.name}: not confirmed: {item.reason}.")
+        said = f"version {item.version}"
+        if not item.confirmed:
+            said = f"not confirmed: {item.reason}"
+        lines.append(f"  {item.name} ({item.state}): {said}.")
     return lines
--- a/libs/ctl/src/dandelionlead/ctl/confirm.py
+++ b/libs/ctl/src/dandelionlead/ctl/confirm.py
@@ -41,17 +41,20 @@
     Attributes:
         name: Name of the process.
         address: Its control address.
+        state: `live` or `leaving`, as the list shows it. A leaving process
+            must confirm too, since it takes new work for some seconds.
         confirmed: Whether it has this version, or a later one, in force.
         version: Version that it has in force; 0 if it did not answer.
         reason: Why it did not confirm; empty if it did.
     """
 
-    __slots__ = ("name", "address", "confirmed", "version", "reason")
+    __slots__ = ("name", "address", "state", "confirmed", "version", "reason")
 
     def __init__(
         self,
         name: str,
         address: str,
+        state: str,
         *,
         confirmed: bool,
         version: int,
@@ -59,6 +62,7 @@
     ) -> None:
         self.name = name
         self.address = address
+        self.state = state
         self.confirmed = confirmed
         self.version = version
         self.reason = reason
@@ -105,6 +109,7 @@
     return Confirmation(
         item.name,
         item.control,
+        item.state,
         confirmed=confirmed,
         version=version,
         reason="" if confirmed else reason,
--- a/libs/ctl/src/dandelionlead/ctl/main.py
+++ b/libs/ctl/src/dandelionlead/ctl/main.py
@@ -195,14 +195,14 @@
 def _dump(cfg: model.Process, address: str) -> answers.Answer:
     text = connect.to_peers(cfg).dump(address)
     if isinstance(text, errors.Failure):
-        return answers.of_failure(address, text)
+        return answers.of_failure("The dump failed", text)
     try:
         state = json.loads(text)
     except ValueError as exc:
         failure = errors.Failure(
             errors.Kind.INTERNAL, f"the dump is not JSON: {exc}"
         )
-        return answers.of_failure(address, failure)
+        return answers.of_failure("The dump failed", failure)
     lines = [json.dumps(state, indent=2)]
     return answers.Answer(exits.DONE, {"result": "shown", "dump": state}, lines)
 
--- a/libs/ctl/tests/test_commands.py
+++ b/libs/ctl/tests/test_commands.py
@@ -4,6 +4,7 @@
 import io
 import json
 import pathlib
+import re
 import tempfile
 import threading
 import unittest
@@ -269,6 +270,14 @@
                 self.assertEqual(main.main(args), code)
 
 
+class ExitCodesTest(unittest.TestCase):
+    def test_the_guide_lists_every_exit_code(self):
+        guide = (_EXAMPLES.parent / "docs" / "operators.md").read_text()
+        listed = {int(code) for code in re.findall(r"^\| (\d) \|", guide, re.M)}
+        codes = {val for val in vars(exits).values() if isinstance(val, int)}
+        self.assertEqual(listed, codes)
+
+
 class FanoutTest(unittest.TestCase):
     def test_a_call_that_hangs_does_not_hold_the_others(self):
         hang = threading.Event()
