ctl: use the platform's HTTP client

Cause: the client's interface is known now. Change: connect builds the three clients from the settings' URL; reasons get one full stop, since members write them with and without. Ruled out: a URL without the scheme in the settings, as operators know URLs.

--- a/libs/config/src/dandelionlead/config/model.py
+++ b/libs/config/src/dandelionlead/config/model.py
@@ -482,6 +482,11 @@
         self.max_body_bytes = max_body_bytes
         self.max_header_bytes = max_header_bytes
 
+    @property
+    def platform_address(self) -> str:
+        """The platform's `ip:port`."""
+        return self.platform.removeprefix("http://")
+
     def __repr__(self) -> str:
         # Keys are secrets and stay out of logs and dumps.
         return f"Process(name={self.name!r}, role={self.role!r})"
--- a/libs/ctl/src/dandelionlead/ctl/answers.py
+++ b/libs/ctl/src/dandelionlead/ctl/answers.py
@@ -52,5 +52,10 @@
         "kind": failure.kind.value,
         "reason": failure.reason,
     }
-    line = f"{what}: {failure.reason}. ({failure.kind.value})"
+    line = f"{what} ({failure.kind.value}): {sentence(failure.reason)}"
     return Answer(exits.UNREACHABLE, plain, [line])
+
+
+def sentence(text: str) -> str:
+    """Returns a text with one full stop; reasons come with and without."""
+    return f"{text.rstrip('.')}."
--- a/libs/ctl/src/dandelionlead/ctl/applying.py
+++ b/libs/ctl/src/dandelionlead/ctl/applying.py
@@ -50,7 +50,8 @@
         "winner_version": result.winner_version,
         "winner_id": result.winner_id,
     }
-    line = f"Refused, nothing was changed: {result.reason}."
+    reason = answers.sentence(result.reason)
+    line = f"Refused, nothing was changed: {reason}"
     code = exits.CONFLICT if won else exits.REFUSED
     return answers.Answer(code, plain, [line])
 
@@ -64,7 +65,7 @@
     }
     lines = [
         f"Unknown: the change may be in force now or later, as version "
-        f"{result.version}: {result.reason}.",
+        f"{result.version}: {answers.sentence(result.reason)}",
         f"It was accepted if `show` lists apply id {apply_id}.",
     ]
     return answers.Answer(exits.UNKNOWN, plain, lines)
@@ -89,9 +90,7 @@
     if isinstance(listed, errors.Failure):
         plain["confirmations"] = None
         plain["reason"] = listed.reason
-        lines.append(
-            f"Nobody was notified: the instance list: {listed.reason}."
-        )
+        lines.append(f"Nobody was notified: {answers.sentence(listed.reason)}")
         return answers.Answer(exits.NOT_CONFIRMED, plain, lines)
     bounded = apply.Timing(timing.now, timing.wait, confirm.LIMIT_S)
     found = confirm.collect(listed, accepted, notifier, bounded)
@@ -123,5 +122,6 @@
         said = f"version {item.version}"
         if not item.confirmed:
             said = f"not confirmed: {item.reason}"
-        lines.append(f"  {item.name} ({item.state}): {said}.")
+        said = answers.sentence(said)
+        lines.append(f"  {item.name} ({item.state}): {said}")
     return lines
--- a/libs/ctl/src/dandelionlead/ctl/connect.py
+++ b/libs/ctl/src/dandelionlead/ctl/connect.py
@@ -12,8 +12,12 @@
     # Imported here so that `check` needs no network library.
     from dandelionlead.platform import http
 
-    client = http.Client(settings.platform)
-    return platforms.Platform(client, client, client)
+    transport = http.Transport(settings.platform_address)
+    return platforms.Platform(
+        http.HttpTable(transport),
+        http.HttpObjects(transport),
+        http.HttpInstances(transport),
+    )
 
 
 def to_peers(settings: model.Process) -> peers.Peers:
--- a/libs/ctl/src/dandelionlead/ctl/status.py
+++ b/libs/ctl/src/dandelionlead/ctl/status.py
@@ -98,4 +98,4 @@
         line += f", deadline {item['deadline']}"
     if item["reason"]:
         line += f", because {item['reason']}"
-    return f"{line}."
+    return answers.sentence(line)
--- a/libs/ctl/src/dandelionlead/ctl/trace.py
+++ b/libs/ctl/src/dandelionlead/ctl/trace.py
@@ -30,7 +30,7 @@
     missing: list[str] = []
     listed = platform.instances.fetch()
     if isinstance(listed, errors.Failure):
-        missing.append(f"The instance list: {listed.reason}.")
+        missing.append(f"The instance list: {answers.sentence(listed.reason)}")
         listed = []
     names = {item.control: item.name for item in listed}
     replies = asked.trace(list(names), request_id)
@@ -40,11 +40,11 @@
             events += reply
         else:
             reason = reply.reason if reply else "no answer in time"
-            missing.append(f"{name} at {address}: {reason}.")
+            missing.append(f"{name} at {address}: {answers.sentence(reason)}")
     for path in logs:
         found = read_log(path, request_id)
         if isinstance(found, errors.Failure):
-            missing.append(f"{path}: {found.reason}.")
+            missing.append(f"{path}: {answers.sentence(found.reason)}")
         else:
             events += found
     return _answer(request_id, merge(events), missing)
