ctl: give the reason of each process that trace could not ask

Cause: a trial with a refused connection printed "no answer in time", since a Failure is false in a boolean context. Change: trace compares with None; the test has a process that refuses and one that does not answer. Ruled out: nothing.

--- a/libs/ctl/src/dandelionlead/ctl/trace.py
+++ b/libs/ctl/src/dandelionlead/ctl/trace.py
@@ -17,6 +17,7 @@
 _PROCESS = re.compile(r"(?: |^)process=(\S+)")
 # A log line has its time in microseconds; the ring has the whole float.
 _TIME_DIGITS = 6
+_NO_ANSWER = "it did not answer in time"
 
 
 def run(
@@ -39,7 +40,7 @@
         if isinstance(reply, list):
             events += reply
         else:
-            reason = reply.reason if reply else "no answer in time"
+            reason = reply.reason if reply is not None else _NO_ANSWER
             missing.append(f"{name} at {address}: {answers.sentence(reason)}")
     for path in logs:
         found = read_log(path, request_id)
--- a/libs/ctl/tests/test_commands.py
+++ b/libs/ctl/tests/test_commands.py
@@ -228,17 +228,21 @@
             peers.Event("a", 1.0, "event=began process=a req=r1"),
             peers.Event("a", 3.0000000001, "event=ended process=a req=r1"),
         ]
-        fake = Fake("a", "b")
+        fake = Fake("a", "b", "c")
         platform = platforms.Platform(fake, fake, fake)
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "gone.log"
             path.write_text(log)
-            asked = Traced({"a:2": events})
+            refused = errors.Failure(errors.Kind.PEER_REFUSED, "another key.")
+            asked = Traced({"a:2": events, "b:2": refused})
             answer = trace.run("r1", platform, asked, (path,))
         names = [event["line"].split()[0] for event in answer.plain["events"]]
         self.assertEqual(names, ["event=began", "event=sent", "event=ended"])
         self.assertEqual(answer.code, exits.PARTIAL)
-        self.assertIn("b at b:2", answer.plain["missing"][0])
+        self.assertEqual(
+            answer.plain["missing"],
+            ["b at b:2: another key.", "c at c:2: it did not answer in time."],
+        )
 
     def test_unknown_request_is_not_found(self):
         fake = Fake("a")
