--- a/libs/ctl/src/dandelionlead/ctl/trace.py
+++ b/libs/ctl/src/dandelionlead/ctl/trace.py
@@ -17,6 +17,7 @@
 _PROCESS = re.compile(r"(?: |^)process=(\S+)")
 # A log line has its time in microseconds; the ring has the whole float.
 _TIME_DIGITS = 6
+_NO_ANSWER = "it did not answer in time"
 
 
 def run(
@@ -30,7 +31,7 @@
     missing: list[str] = []
     listed = platform.instances.fetch()
     if isinstance(listed, errors.Failure):
-        missing.append(f"The instance list: {listed.reason}.")
+        missing.append(f"The instance list: {answers.sentence(listed.reason)}")
         listed = []
     names = {item.control: item.name for item in listed}
     replies = asked.trace(list(names), request_id)
@@ -39,12 +40,12 @@
         if isinstance(reply, list):
             events += reply
         else:
-            reason = reply.reason if reply else "no answer in time"
-            missing.append(f"{name} at {address}: {reason}.")
+            reason = reply.reason if reply is not None else _NO_ANSWER
+            missing.append(f"{name} at {address}: {answers.sentence(reason)}")
     for path in logs:
         found = read_log(path, request_id)
         if isinstance(found, errors.Failure):
-            missing.append(f"{path}: {found.reason}.")
+            missing.append(f"{path}: {answers.sentence(found.reason)}")
         else:
             events += found
     return _answer(request_id, merge(events), missing)
