--- /dev/null
+++ b/libs/entry/src/dandelionlead/entry/capacity.py
@@ -0,0 +1,201 @@
+"""Units of engine memory that this entry gets from endpoints' owners."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import eventlet
+
+from dandelionlead.admission import grants
+from dandelionlead.admission import ownership
+from dandelionlead.core import clock
+from dandelionlead.core import errors
+from dandelionlead.entry import convert
+from dandelionlead.wire.gen import ttypes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from dandelionlead.admission import parts
+
+# A request that found no units waits at most this long before it is asked for.
+ASK_PERIOD_S = 0.01
+REPORT_PERIOD_S = 1.0
+
+
+class Capacity:
+    """Asks owners for grants and reports what is in use.
+
+    Args:
+        name: Name of this member.
+        member_part: The part of each endpoint's limit that this member carries.
+        call: Calls a method of a member by name; a failure if it does not
+            answer.
+        live: Returns the names of the live entries, this one included.
+        changed: Called when requests that wait may find units.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        member_part: parts.MemberPart,
+        call: Callable[..., Any],
+        live: Callable[[], list[str]],
+        changed: Callable[[], None],
+    ) -> None:
+        self.pool = grants.GrantPool()
+        self._name = name
+        self._delegations = ownership.Delegations(member_part)
+        self._part = member_part
+        self._call = call
+        self._live = live
+        self._changed = changed
+        self._accepts: dict[str, ownership.Status] = {}
+        self._first_token_s: dict[str, list[float]] = {}
+        self._failed: set[str] = set()
+
+    def accepts_work(self, endpoint: str) -> bool:
+        """Whether the owner said last that the endpoint takes work."""
+        status = self._accepts.get(endpoint)
+        return status is None or status.accepts_work
+
+    def free_units(self, endpoint: str) -> int:
+        """Returns the units that the owner said last to be free."""
+        status = self._accepts.get(endpoint)
+        return 0 if status is None else status.free_units
+
+    def note_first_token(self, endpoint: str, seconds: float) -> None:
+        """Notes a measured first-token time for the next report."""
+        self._first_token_s.setdefault(endpoint, []).append(seconds)
+
+    def note_failed(self, endpoint: str) -> None:
+        """Notes a refused or reset connection for the next report."""
+        self._failed.add(endpoint)
+
+    def saw_incarnation(self, endpoint: str, incarnation: str) -> None:
+        """Voids the grants of an older incarnation than the one seen."""
+        known = self.pool.incarnation(endpoint)
+        if known and incarnation and known != incarnation:
+            self.pool.void(endpoint, known)
+
+    def ask_forever(self) -> None:
+        """Asks for units whenever the pool wants some."""
+        while True:
+            eventlet.sleep(ASK_PERIOD_S)
+            now = clock.boottime()
+            for ask in self.pool.wanted(now):
+                eventlet.spawn_n(self._ask, ask, now)
+
+    def report_forever(self, endpoints: Callable[[], Iterable[str]]) -> None:
+        """Reports to all owners each second, which renews delegations."""
+        while True:
+            started = clock.boottime()
+            self.report_once(endpoints(), started)
+            spent_s = clock.boottime() - started
+            eventlet.sleep(max(0.05, REPORT_PERIOD_S - spent_s))
+
+    def report_once(self, endpoints: Iterable[str], now: float) -> None:
+        """Reports on all endpoints that this member uses."""
+        by_owner: dict[str, list[ttypes.EndpointReport]] = {}
+        live = self._live()
+        for name in endpoints:
+            offer = self._delegations.offer(name, live, now)
+            if offer is not None:
+                by_owner.setdefault(offer.owner, []).append(
+                    self._report(name, offer, now)
+                )
+        calls = [
+            eventlet.spawn(self._send_report, owner, reports)
+            for owner, reports in by_owner.items()
+        ]
+        for fut in calls:
+            fut.wait()
+
+    def dump(self) -> dict[str, Any]:
+        """Returns what is known of each endpoint."""
+        now = clock.boottime()
+        return {
+            name: {
+                "unused_units": self.pool.unused(name, now),
+                "incarnation": self.pool.incarnation(name),
+                "accepts_work": status.accepts_work,
+                "limit_units": status.limit_units,
+                "reason": status.reason,
+            }
+            for name, status in self._accepts.items()
+        }
+
+    def _report(
+        self, name: str, offer: ownership.Offer, now: float
+    ) -> ttypes.EndpointReport:
+        usage = self.pool.usage(name, now)
+        failed = name in self._failed
+        self._failed.discard(name)
+        return ttypes.EndpointReport(
+            endpoint=name,
+            incarnation=usage.incarnation,
+            units_in_use=usage.units_in_use,
+            units_open=usage.units_open,
+            generations=usage.generations,
+            first_token_s=self._first_token_s.pop(name, []),
+            failed=failed,
+            part=offer.part,
+            delegate_for_s=offer.for_s,
+            stamp=offer.stamp,
+            covered_stamp=usage.stamp,
+        )
+
+    def _send_report(
+        self, owner: str, reports: list[ttypes.EndpointReport]
+    ) -> None:
+        req = ttypes.ReportRequest(member=self._name, endpoints=reports)
+        reply = self._call(owner, "report", req)
+        if isinstance(reply, errors.Failure):
+            return
+        for item in reply.endpoints or []:
+            self._answered(owner, convert.status_from_wire(item))
+        self._changed()
+
+    def _ask(self, ask: grants.Ask, asked_at: float) -> None:
+        offer = self._delegations.offer(ask.endpoint, self._live(), asked_at)
+        if offer is None:
+            self.pool.refused(ask.endpoint, asked_at, clock.boottime())
+            return
+        req = ttypes.AcquireRequest(
+            member=self._name,
+            endpoint=ask.endpoint,
+            incarnation=ask.incarnation,
+            units=ask.units,
+            least_units=ask.least_units,
+            part=offer.part,
+            delegate_for_s=offer.for_s,
+            stamp=offer.stamp,
+        )
+        reply = self._call(offer.owner, "acquire", req)
+        now = clock.boottime()
+        if isinstance(reply, errors.Failure):
+            self.pool.refused(ask.endpoint, asked_at, now)
+            return
+        status = convert.status_from_wire(reply.status)
+        if reply.grant is None:
+            self.pool.refused(
+                ask.endpoint,
+                asked_at,
+                now,
+                stamp=status.stamp,
+                incarnation=status.incarnation,
+            )
+        else:
+            self.pool.add(convert.grant_from_wire(reply.grant), asked_at)
+        self._answered(offer.owner, status)
+        self._changed()
+
+    def _answered(self, owner: str, status: ownership.Status) -> None:
+        now = clock.boottime()
+        name = status.endpoint
+        self._delegations.answered(name, owner, status.stamp, now)
+        if self._delegations.owner(name, self._live(), now) == owner:
+            self.pool.answered(name, status)
+            self._accepts[name] = status
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -29,6 +29,8 @@
   // Seconds since this process last tried to read the table service and
   // failed. Negative: its last read succeeded or it has not read yet.
   3: double platform_failed_s_ago
+  // Packed answers of other entries that agree with the head in force.
+  4: binary vouchers
 }
 
 // Counters of one entry for a version on a route; merged by maximum.
@@ -67,6 +69,20 @@
   5: list<VersionEvidence> evidence
   6: list<VersionVerdict> verdicts
   7: list<Suspect> suspects
+  8: double now_s  // clock of the sender, for its own use in the answer
+  // Entries that the sender counts, by incarnation; left out when the receiver
+  // last sent the same digest.
+  9: string counts_digest
+  10: optional map<string, i64> counts
+  11: optional list<EndpointNews> endpoints
+}
+
+// What a process saw of an endpoint that its other users should know.
+struct EndpointNews {
+  1: string endpoint
+  2: string incarnation
+  3: bool leaving
+  4: double age_s
 }
 
 // Asks the owner of an endpoint for units of engine memory (tokens).
@@ -76,7 +92,10 @@
   3: string incarnation
   4: i64 units
   5: i32 priority
-  6: double delegate_for_s  // this member's part of the limit, for so long
+  6: i64 least_units  // of the smallest request that waits
+  7: double part  // this member's part of the limit, 0 to 1
+  8: double delegate_for_s
+  9: string stamp  // last stamp of the owner; empty if there is none
 }
 
 struct Grant {
@@ -85,24 +104,37 @@
   3: string incarnation
   4: i64 units
   5: double valid_for_s
+  6: string stamp
+}
+
+struct EndpointStatus {
+  1: string endpoint
+  2: string incarnation
+  3: i64 limit_units
+  4: i64 free_units
+  5: bool accepts_work
+  6: string reason
+  7: string stamp
 }
 
 struct AcquireReply {
   1: optional Grant grant
   2: string refused_reason  // empty when granted
-  3: string incarnation
-  4: i64 free_units
-  5: bool accepts_work
+  3: EndpointStatus status
 }
 
 struct EndpointReport {
   1: string endpoint
   2: string incarnation
   3: i64 units_in_use
-  4: list<string> generations
-  5: list<double> first_token_s  // of requests that ended since last report
-  6: bool failed  // connection refused or reset since last report
-  7: double delegate_for_s
+  4: i64 units_open
+  5: list<string> generations
+  6: list<double> first_token_s  // of requests since the last report
+  7: bool failed  // a connection was refused or reset since then
+  8: double part
+  9: double delegate_for_s
+  10: string stamp  // last stamp of the owner, for the delegation
+  11: string covered_stamp  // the numbers cover all grants up to this stamp
 }
 
 struct ReportRequest {
@@ -110,15 +142,6 @@
   2: list<EndpointReport> endpoints
 }
 
-struct EndpointStatus {
-  1: string endpoint
-  2: string incarnation
-  3: i64 limit_units
-  4: i64 free_units
-  5: bool accepts_work
-  6: string reason
-}
-
 struct ReportReply {
   1: list<EndpointStatus> endpoints
 }
--- a/libs/wire/src/dandelionlead/wire/gen/Peer.py
+++ b/libs/wire/src/dandelionlead/wire/gen/Peer.py
@@ -962,10 +962,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype89, _size86) = iprot.readListBegin()
-                    for _i90 in range(_size86):
-                        _elem91 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digests.append(_elem91)
+                    (_etype105, _size102) = iprot.readListBegin()
+                    for _i106 in range(_size102):
+                        _elem107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digests.append(_elem107)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -982,8 +982,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter92 in self.digests:
-                oprot.writeString(iter92.encode('utf-8') if sys.version_info[0] == 2 else iter92)
+            for iter108 in self.digests:
+                oprot.writeString(iter108.encode('utf-8') if sys.version_info[0] == 2 else iter108)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1043,11 +1043,11 @@
             if fid == 0:
                 if ftype == TType.MAP:
                     self.success = {}
-                    (_ktype94, _vtype95, _size93) = iprot.readMapBegin()
-                    for _i97 in range(_size93):
-                        _key98 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val99 = iprot.readBinary()
-                        self.success[_key98] = _val99
+                    (_ktype110, _vtype111, _size109) = iprot.readMapBegin()
+                    for _i113 in range(_size109):
+                        _key114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val115 = iprot.readBinary()
+                        self.success[_key114] = _val115
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1064,9 +1064,9 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.MAP, 0)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.success))
-            for kiter100, viter101 in self.success.items():
-                oprot.writeString(kiter100.encode('utf-8') if sys.version_info[0] == 2 else kiter100)
-                oprot.writeBinary(viter101)
+            for kiter116, viter117 in self.success.items():
+                oprot.writeString(kiter116.encode('utf-8') if sys.version_info[0] == 2 else kiter116)
+                oprot.writeBinary(viter117)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1470,11 +1470,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = TraceEvent()
-                        _elem107.read(iprot)
-                        self.success.append(_elem107)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = TraceEvent()
+                        _elem123.read(iprot)
+                        self.success.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1491,8 +1491,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter108 in self.success:
-                iter108.write(oprot)
+            for iter124 in self.success:
+                iter124.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/libs/wire/src/dandelionlead/wire/gen/ttypes.py
+++ b/libs/wire/src/dandelionlead/wire/gen/ttypes.py
@@ -264,6 +264,7 @@
      - head_version
      - confirmed_s_ago
      - platform_failed_s_ago
+     - vouchers
 
     """
 
@@ -271,13 +272,15 @@
         'head_version',
         'confirmed_s_ago',
         'platform_failed_s_ago',
+        'vouchers',
     )
 
 
-    def __init__(self, head_version=None, confirmed_s_ago=None, platform_failed_s_ago=None,):
+    def __init__(self, head_version=None, confirmed_s_ago=None, platform_failed_s_ago=None, vouchers=None,):
         self.head_version = head_version
         self.confirmed_s_ago = confirmed_s_ago
         self.platform_failed_s_ago = platform_failed_s_ago
+        self.vouchers = vouchers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -303,6 +306,11 @@
                     self.platform_failed_s_ago = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.vouchers = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -325,6 +333,10 @@
             oprot.writeFieldBegin('platform_failed_s_ago', TType.DOUBLE, 3)
             oprot.writeDouble(self.platform_failed_s_ago)
             oprot.writeFieldEnd()
+        if self.vouchers is not None:
+            oprot.writeFieldBegin('vouchers', TType.STRING, 4)
+            oprot.writeBinary(self.vouchers)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -756,6 +768,10 @@
      - evidence
      - verdicts
      - suspects
+     - now_s
+     - counts_digest
+     - counts
+     - endpoints
 
     """
 
@@ -767,10 +783,14 @@
         'evidence',
         'verdicts',
         'suspects',
+        'now_s',
+        'counts_digest',
+        'counts',
+        'endpoints',
     )
 
 
-    def __init__(self, sender=None, members=None, head=None, freshness=None, evidence=None, verdicts=None, suspects=None,):
+    def __init__(self, sender=None, members=None, head=None, freshness=None, evidence=None, verdicts=None, suspects=None, now_s=None, counts_digest=None, counts=None, endpoints=None,):
         self.sender = sender
         self.members = members
         self.head = head
@@ -778,6 +798,10 @@
         self.evidence = evidence
         self.verdicts = verdicts
         self.suspects = suspects
+        self.now_s = now_s
+        self.counts_digest = counts_digest
+        self.counts = counts
+        self.endpoints = endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -849,6 +873,38 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.now_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.counts_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.MAP:
+                    self.counts = {}
+                    (_ktype55, _vtype56, _size54) = iprot.readMapBegin()
+                    for _i58 in range(_size54):
+                        _key59 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val60 = iprot.readI64()
+                        self.counts[_key59] = _val60
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.endpoints = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = EndpointNews()
+                        _elem66.read(iprot)
+                        self.endpoints.append(_elem66)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -866,8 +922,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter54 in self.members:
-                iter54.write(oprot)
+            for iter67 in self.members:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.head is not None:
@@ -881,22 +937,45 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter55 in self.evidence:
-                iter55.write(oprot)
+            for iter68 in self.evidence:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter56 in self.verdicts:
-                iter56.write(oprot)
+            for iter69 in self.verdicts:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter57 in self.suspects:
-                iter57.write(oprot)
+            for iter70 in self.suspects:
+                iter70.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.now_s is not None:
+            oprot.writeFieldBegin('now_s', TType.DOUBLE, 8)
+            oprot.writeDouble(self.now_s)
+            oprot.writeFieldEnd()
+        if self.counts_digest is not None:
+            oprot.writeFieldBegin('counts_digest', TType.STRING, 9)
+            oprot.writeString(self.counts_digest.encode('utf-8') if sys.version_info[0] == 2 else self.counts_digest)
+            oprot.writeFieldEnd()
+        if self.counts is not None:
+            oprot.writeFieldBegin('counts', TType.MAP, 10)
+            oprot.writeMapBegin(TType.STRING, TType.I64, len(self.counts))
+            for kiter71, viter72 in self.counts.items():
+                oprot.writeString(kiter71.encode('utf-8') if sys.version_info[0] == 2 else kiter71)
+                oprot.writeI64(viter72)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.endpoints is not None:
+            oprot.writeFieldBegin('endpoints', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
+            for iter73 in self.endpoints:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -924,6 +1003,110 @@
         return not (self == other)
 
 
+class EndpointNews(object):
+    """
+    Attributes:
+     - endpoint
+     - incarnation
+     - leaving
+     - age_s
+
+    """
+
+    __slots__ = (
+        'endpoint',
+        'incarnation',
+        'leaving',
+        'age_s',
+    )
+
+
+    def __init__(self, endpoint=None, incarnation=None, leaving=None, age_s=None,):
+        self.endpoint = endpoint
+        self.incarnation = incarnation
+        self.leaving = leaving
+        self.age_s = age_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointNews')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        if self.age_s is not None:
+            oprot.writeFieldBegin('age_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.age_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class AcquireRequest(object):
     """
     Attributes:
@@ -932,7 +1115,10 @@
      - incarnation
      - units
      - priority
+     - least_units
+     - part
      - delegate_for_s
+     - stamp
 
     """
 
@@ -942,17 +1128,23 @@
         'incarnation',
         'units',
         'priority',
+        'least_units',
+        'part',
         'delegate_for_s',
+        'stamp',
     )
 
 
-    def __init__(self, member=None, endpoint=None, incarnation=None, units=None, priority=None, delegate_for_s=None,):
+    def __init__(self, member=None, endpoint=None, incarnation=None, units=None, priority=None, least_units=None, part=None, delegate_for_s=None, stamp=None,):
         self.member = member
         self.endpoint = endpoint
         self.incarnation = incarnation
         self.units = units
         self.priority = priority
+        self.least_units = least_units
+        self.part = part
         self.delegate_for_s = delegate_for_s
+        self.stamp = stamp
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -989,10 +1181,25 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
+                if ftype == TType.I64:
+                    self.least_units = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.part = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
                 if ftype == TType.DOUBLE:
                     self.delegate_for_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRING:
+                    self.stamp = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1023,10 +1230,22 @@
             oprot.writeFieldBegin('priority', TType.I32, 5)
             oprot.writeI32(self.priority)
             oprot.writeFieldEnd()
+        if self.least_units is not None:
+            oprot.writeFieldBegin('least_units', TType.I64, 6)
+            oprot.writeI64(self.least_units)
+            oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.DOUBLE, 7)
+            oprot.writeDouble(self.part)
+            oprot.writeFieldEnd()
         if self.delegate_for_s is not None:
-            oprot.writeFieldBegin('delegate_for_s', TType.DOUBLE, 6)
+            oprot.writeFieldBegin('delegate_for_s', TType.DOUBLE, 8)
             oprot.writeDouble(self.delegate_for_s)
             oprot.writeFieldEnd()
+        if self.stamp is not None:
+            oprot.writeFieldBegin('stamp', TType.STRING, 9)
+            oprot.writeString(self.stamp.encode('utf-8') if sys.version_info[0] == 2 else self.stamp)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1060,6 +1279,7 @@
      - incarnation
      - units
      - valid_for_s
+     - stamp
 
     """
 
@@ -1069,15 +1289,17 @@
         'incarnation',
         'units',
         'valid_for_s',
+        'stamp',
     )
 
 
-    def __init__(self, grant_id=None, endpoint=None, incarnation=None, units=None, valid_for_s=None,):
+    def __init__(self, grant_id=None, endpoint=None, incarnation=None, units=None, valid_for_s=None, stamp=None,):
         self.grant_id = grant_id
         self.endpoint = endpoint
         self.incarnation = incarnation
         self.units = units
         self.valid_for_s = valid_for_s
+        self.stamp = stamp
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1113,6 +1335,11 @@
                     self.valid_for_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.stamp = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1143,6 +1370,10 @@
             oprot.writeFieldBegin('valid_for_s', TType.DOUBLE, 5)
             oprot.writeDouble(self.valid_for_s)
             oprot.writeFieldEnd()
+        if self.stamp is not None:
+            oprot.writeFieldBegin('stamp', TType.STRING, 6)
+            oprot.writeString(self.stamp.encode('utf-8') if sys.version_info[0] == 2 else self.stamp)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1168,32 +1399,38 @@
         return not (self == other)
 
 
-class AcquireReply(object):
+class EndpointStatus(object):
     """
     Attributes:
-     - grant
-     - refused_reason
+     - endpoint
      - incarnation
+     - limit_units
      - free_units
      - accepts_work
+     - reason
+     - stamp
 
     """
 
     __slots__ = (
-        'grant',
-        'refused_reason',
+        'endpoint',
         'incarnation',
+        'limit_units',
         'free_units',
         'accepts_work',
+        'reason',
+        'stamp',
     )
 
 
-    def __init__(self, grant=None, refused_reason=None, incarnation=None, free_units=None, accepts_work=None,):
-        self.grant = grant
-        self.refused_reason = refused_reason
+    def __init__(self, endpoint=None, incarnation=None, limit_units=None, free_units=None, accepts_work=None, reason=None, stamp=None,):
+        self.endpoint = endpoint
         self.incarnation = incarnation
+        self.limit_units = limit_units
         self.free_units = free_units
         self.accepts_work = accepts_work
+        self.reason = reason
+        self.stamp = stamp
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1205,19 +1442,18 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.grant = Grant()
-                    self.grant.read(iprot)
+                if ftype == TType.STRING:
+                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.refused_reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.limit_units = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -1230,6 +1466,16 @@
                     self.accepts_work = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.stamp = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1239,19 +1485,19 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('AcquireReply')
-        if self.grant is not None:
-            oprot.writeFieldBegin('grant', TType.STRUCT, 1)
-            self.grant.write(oprot)
-            oprot.writeFieldEnd()
-        if self.refused_reason is not None:
-            oprot.writeFieldBegin('refused_reason', TType.STRING, 2)
-            oprot.writeString(self.refused_reason.encode('utf-8') if sys.version_info[0] == 2 else self.refused_reason)
+        oprot.writeStructBegin('EndpointStatus')
+        if self.endpoint is not None:
+            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
+            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
             oprot.writeFieldEnd()
         if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
+        if self.limit_units is not None:
+            oprot.writeFieldBegin('limit_units', TType.I64, 3)
+            oprot.writeI64(self.limit_units)
+            oprot.writeFieldEnd()
         if self.free_units is not None:
             oprot.writeFieldBegin('free_units', TType.I64, 4)
             oprot.writeI64(self.free_units)
@@ -1260,6 +1506,108 @@
             oprot.writeFieldBegin('accepts_work', TType.BOOL, 5)
             oprot.writeBool(self.accepts_work)
             oprot.writeFieldEnd()
+        if self.reason is not None:
+            oprot.writeFieldBegin('reason', TType.STRING, 6)
+            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
+            oprot.writeFieldEnd()
+        if self.stamp is not None:
+            oprot.writeFieldBegin('stamp', TType.STRING, 7)
+            oprot.writeString(self.stamp.encode('utf-8') if sys.version_info[0] == 2 else self.stamp)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AcquireReply(object):
+    """
+    Attributes:
+     - grant
+     - refused_reason
+     - status
+
+    """
+
+    __slots__ = (
+        'grant',
+        'refused_reason',
+        'status',
+    )
+
+
+    def __init__(self, grant=None, refused_reason=None, status=None,):
+        self.grant = grant
+        self.refused_reason = refused_reason
+        self.status = status
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.grant = Grant()
+                    self.grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.refused_reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.status = EndpointStatus()
+                    self.status.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AcquireReply')
+        if self.grant is not None:
+            oprot.writeFieldBegin('grant', TType.STRUCT, 1)
+            self.grant.write(oprot)
+            oprot.writeFieldEnd()
+        if self.refused_reason is not None:
+            oprot.writeFieldBegin('refused_reason', TType.STRING, 2)
+            oprot.writeString(self.refused_reason.encode('utf-8') if sys.version_info[0] == 2 else self.refused_reason)
+            oprot.writeFieldEnd()
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.STRUCT, 3)
+            self.status.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1291,10 +1639,14 @@
      - endpoint
      - incarnation
      - units_in_use
+     - units_open
      - generations
      - first_token_s
      - failed
+     - part
      - delegate_for_s
+     - stamp
+     - covered_stamp
 
     """
 
@@ -1302,21 +1654,29 @@
         'endpoint',
         'incarnation',
         'units_in_use',
+        'units_open',
         'generations',
         'first_token_s',
         'failed',
+        'part',
         'delegate_for_s',
+        'stamp',
+        'covered_stamp',
     )
 
 
-    def __init__(self, endpoint=None, incarnation=None, units_in_use=None, generations=None, first_token_s=None, failed=None, delegate_for_s=None,):
+    def __init__(self, endpoint=None, incarnation=None, units_in_use=None, units_open=None, generations=None, first_token_s=None, failed=None, part=None, delegate_for_s=None, stamp=None, covered_stamp=None,):
         self.endpoint = endpoint
         self.incarnation = incarnation
         self.units_in_use = units_in_use
+        self.units_open = units_open
         self.generations = generations
         self.first_token_s = first_token_s
         self.failed = failed
+        self.part = part
         self.delegate_for_s = delegate_for_s
+        self.stamp = stamp
+        self.covered_stamp = covered_stamp
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1343,35 +1703,55 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
+                if ftype == TType.I64:
+                    self.units_open = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
                 if ftype == TType.LIST:
                     self.generations = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.generations.append(_elem63)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.generations.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 5:
+            elif fid == 6:
                 if ftype == TType.LIST:
                     self.first_token_s = []
-                    (_etype67, _size64) = iprot.readListBegin()
-                    for _i68 in range(_size64):
-                        _elem69 = iprot.readDouble()
-                        self.first_token_s.append(_elem69)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = iprot.readDouble()
+                        self.first_token_s.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
+            elif fid == 7:
                 if ftype == TType.BOOL:
                     self.failed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 7:
+            elif fid == 8:
+                if ftype == TType.DOUBLE:
+                    self.part = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
                 if ftype == TType.DOUBLE:
                     self.delegate_for_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRING:
+                    self.stamp = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRING:
+                    self.covered_stamp = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1394,28 +1774,44 @@
             oprot.writeFieldBegin('units_in_use', TType.I64, 3)
             oprot.writeI64(self.units_in_use)
             oprot.writeFieldEnd()
+        if self.units_open is not None:
+            oprot.writeFieldBegin('units_open', TType.I64, 4)
+            oprot.writeI64(self.units_open)
+            oprot.writeFieldEnd()
         if self.generations is not None:
-            oprot.writeFieldBegin('generations', TType.LIST, 4)
+            oprot.writeFieldBegin('generations', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.generations))
-            for iter70 in self.generations:
-                oprot.writeString(iter70.encode('utf-8') if sys.version_info[0] == 2 else iter70)
+            for iter86 in self.generations:
+                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.first_token_s is not None:
-            oprot.writeFieldBegin('first_token_s', TType.LIST, 5)
+            oprot.writeFieldBegin('first_token_s', TType.LIST, 6)
             oprot.writeListBegin(TType.DOUBLE, len(self.first_token_s))
-            for iter71 in self.first_token_s:
-                oprot.writeDouble(iter71)
+            for iter87 in self.first_token_s:
+                oprot.writeDouble(iter87)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failed is not None:
-            oprot.writeFieldBegin('failed', TType.BOOL, 6)
+            oprot.writeFieldBegin('failed', TType.BOOL, 7)
             oprot.writeBool(self.failed)
             oprot.writeFieldEnd()
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.DOUBLE, 8)
+            oprot.writeDouble(self.part)
+            oprot.writeFieldEnd()
         if self.delegate_for_s is not None:
-            oprot.writeFieldBegin('delegate_for_s', TType.DOUBLE, 7)
+            oprot.writeFieldBegin('delegate_for_s', TType.DOUBLE, 9)
             oprot.writeDouble(self.delegate_for_s)
             oprot.writeFieldEnd()
+        if self.stamp is not None:
+            oprot.writeFieldBegin('stamp', TType.STRING, 10)
+            oprot.writeString(self.stamp.encode('utf-8') if sys.version_info[0] == 2 else self.stamp)
+            oprot.writeFieldEnd()
+        if self.covered_stamp is not None:
+            oprot.writeFieldBegin('covered_stamp', TType.STRING, 11)
+            oprot.writeString(self.covered_stamp.encode('utf-8') if sys.version_info[0] == 2 else self.covered_stamp)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1476,11 +1872,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = EndpointReport()
-                        _elem77.read(iprot)
-                        self.endpoints.append(_elem77)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = EndpointReport()
+                        _elem93.read(iprot)
+                        self.endpoints.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1501,8 +1897,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter78 in self.endpoints:
-                iter78.write(oprot)
+            for iter94 in self.endpoints:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1530,134 +1926,6 @@
         return not (self == other)
 
 
-class EndpointStatus(object):
-    """
-    Attributes:
-     - endpoint
-     - incarnation
-     - limit_units
-     - free_units
-     - accepts_work
-     - reason
-
-    """
-
-    __slots__ = (
-        'endpoint',
-        'incarnation',
-        'limit_units',
-        'free_units',
-        'accepts_work',
-        'reason',
-    )
-
-
-    def __init__(self, endpoint=None, incarnation=None, limit_units=None, free_units=None, accepts_work=None, reason=None,):
-        self.endpoint = endpoint
-        self.incarnation = incarnation
-        self.limit_units = limit_units
-        self.free_units = free_units
-        self.accepts_work = accepts_work
-        self.reason = reason
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.I64:
-                    self.limit_units = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I64:
-                    self.free_units = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.BOOL:
-                    self.accepts_work = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.STRING:
-                    self.reason = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('EndpointStatus')
-        if self.endpoint is not None:
-            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
-            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
-            oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
-            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
-            oprot.writeFieldEnd()
-        if self.limit_units is not None:
-            oprot.writeFieldBegin('limit_units', TType.I64, 3)
-            oprot.writeI64(self.limit_units)
-            oprot.writeFieldEnd()
-        if self.free_units is not None:
-            oprot.writeFieldBegin('free_units', TType.I64, 4)
-            oprot.writeI64(self.free_units)
-            oprot.writeFieldEnd()
-        if self.accepts_work is not None:
-            oprot.writeFieldBegin('accepts_work', TType.BOOL, 5)
-            oprot.writeBool(self.accepts_work)
-            oprot.writeFieldEnd()
-        if self.reason is not None:
-            oprot.writeFieldBegin('reason', TType.STRING, 6)
-            oprot.writeString(self.reason.encode('utf-8') if sys.version_info[0] == 2 else self.reason)
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
 class ReportReply(object):
     """
     Attributes:
@@ -1685,11 +1953,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype82, _size79) = iprot.readListBegin()
-                    for _i83 in range(_size79):
-                        _elem84 = EndpointStatus()
-                        _elem84.read(iprot)
-                        self.endpoints.append(_elem84)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = EndpointStatus()
+                        _elem100.read(iprot)
+                        self.endpoints.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1706,8 +1974,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter85 in self.endpoints:
-                iter85.write(oprot)
+            for iter101 in self.endpoints:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1929,6 +2197,7 @@
     (1, TType.I64, 'head_version', None, None, ),  # 1
     (2, TType.DOUBLE, 'confirmed_s_ago', None, None, ),  # 2
     (3, TType.DOUBLE, 'platform_failed_s_ago', None, None, ),  # 3
+    (4, TType.STRING, 'vouchers', 'BINARY', None, ),  # 4
 )
 all_structs.append(VersionEvidence)
 VersionEvidence.thrift_spec = (
@@ -1969,6 +2238,18 @@
     (5, TType.LIST, 'evidence', (TType.STRUCT, [VersionEvidence, None], False), None, ),  # 5
     (6, TType.LIST, 'verdicts', (TType.STRUCT, [VersionVerdict, None], False), None, ),  # 6
     (7, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 7
+    (8, TType.DOUBLE, 'now_s', None, None, ),  # 8
+    (9, TType.STRING, 'counts_digest', 'UTF8', None, ),  # 9
+    (10, TType.MAP, 'counts', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 10
+    (11, TType.LIST, 'endpoints', (TType.STRUCT, [EndpointNews, None], False), None, ),  # 11
+)
+all_structs.append(EndpointNews)
+EndpointNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'leaving', None, None, ),  # 3
+    (4, TType.DOUBLE, 'age_s', None, None, ),  # 4
 )
 all_structs.append(AcquireRequest)
 AcquireRequest.thrift_spec = (
@@ -1978,7 +2259,10 @@
     (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
     (4, TType.I64, 'units', None, None, ),  # 4
     (5, TType.I32, 'priority', None, None, ),  # 5
-    (6, TType.DOUBLE, 'delegate_for_s', None, None, ),  # 6
+    (6, TType.I64, 'least_units', None, None, ),  # 6
+    (7, TType.DOUBLE, 'part', None, None, ),  # 7
+    (8, TType.DOUBLE, 'delegate_for_s', None, None, ),  # 8
+    (9, TType.STRING, 'stamp', 'UTF8', None, ),  # 9
 )
 all_structs.append(Grant)
 Grant.thrift_spec = (
@@ -1988,15 +2272,25 @@
     (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
     (4, TType.I64, 'units', None, None, ),  # 4
     (5, TType.DOUBLE, 'valid_for_s', None, None, ),  # 5
+    (6, TType.STRING, 'stamp', 'UTF8', None, ),  # 6
+)
+all_structs.append(EndpointStatus)
+EndpointStatus.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'limit_units', None, None, ),  # 3
+    (4, TType.I64, 'free_units', None, None, ),  # 4
+    (5, TType.BOOL, 'accepts_work', None, None, ),  # 5
+    (6, TType.STRING, 'reason', 'UTF8', None, ),  # 6
+    (7, TType.STRING, 'stamp', 'UTF8', None, ),  # 7
 )
 all_structs.append(AcquireReply)
 AcquireReply.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'grant', [Grant, None], None, ),  # 1
     (2, TType.STRING, 'refused_reason', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
-    (4, TType.I64, 'free_units', None, None, ),  # 4
-    (5, TType.BOOL, 'accepts_work', None, None, ),  # 5
+    (3, TType.STRUCT, 'status', [EndpointStatus, None], None, ),  # 3
 )
 all_structs.append(EndpointReport)
 EndpointReport.thrift_spec = (
@@ -2004,10 +2298,14 @@
     (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
     (3, TType.I64, 'units_in_use', None, None, ),  # 3
-    (4, TType.LIST, 'generations', (TType.STRING, 'UTF8', False), None, ),  # 4
-    (5, TType.LIST, 'first_token_s', (TType.DOUBLE, None, False), None, ),  # 5
-    (6, TType.BOOL, 'failed', None, None, ),  # 6
-    (7, TType.DOUBLE, 'delegate_for_s', None, None, ),  # 7
+    (4, TType.I64, 'units_open', None, None, ),  # 4
+    (5, TType.LIST, 'generations', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'first_token_s', (TType.DOUBLE, None, False), None, ),  # 6
+    (7, TType.BOOL, 'failed', None, None, ),  # 7
+    (8, TType.DOUBLE, 'part', None, None, ),  # 8
+    (9, TType.DOUBLE, 'delegate_for_s', None, None, ),  # 9
+    (10, TType.STRING, 'stamp', 'UTF8', None, ),  # 10
+    (11, TType.STRING, 'covered_stamp', 'UTF8', None, ),  # 11
 )
 all_structs.append(ReportRequest)
 ReportRequest.thrift_spec = (
@@ -2015,16 +2313,6 @@
     (1, TType.STRING, 'member', 'UTF8', None, ),  # 1
     (2, TType.LIST, 'endpoints', (TType.STRUCT, [EndpointReport, None], False), None, ),  # 2
 )
-all_structs.append(EndpointStatus)
-EndpointStatus.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
-    (3, TType.I64, 'limit_units', None, None, ),  # 3
-    (4, TType.I64, 'free_units', None, None, ),  # 4
-    (5, TType.BOOL, 'accepts_work', None, None, ),  # 5
-    (6, TType.STRING, 'reason', 'UTF8', None, ),  # 6
-)
 all_structs.append(ReportReply)
 ReportReply.thrift_spec = (
     None,  # 0
