demo: read the service's counts by key and accept a partial trace

Cause: the demo read the wrong field of the counts, and asks for a trace while one listed entry is dead, which is reported as partial. Change: both read as documented.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -131,10 +131,10 @@
         """Asks which process did what to one request."""
         resp = self._chat("entry-2", tokens=5, request_id="demo-trace-1")
         resp.read()
-        code, output = self._deploy.ctl("trace", "demo-trace-1")
+        _, output = self._deploy.ctl("trace", "demo-trace-1")
         lines = [item["line"] for item in output["events"]]
         _expect(
-            code == 0 and any("event=dispatch" in line for line in lines),
+            any("event=dispatch" in line for line in lines),
             f"the trace shows no dispatch: {output}",
         )
         _say(f"trace of one request: {len(lines)} events")
@@ -188,7 +188,7 @@
         runs = []
         for item in self._deploy.operators["endpoints"].values():
             if item["kind"] == "service":
-                runs.append(self._counts(item)["runs"].get(key, 0))
+                runs.append(self._counts(item)["keys"].get(key, 0))
         return runs
 
     def _engines(self, zone: str) -> list[str]:
