Hand streams over when the drain limit has passed

Cause: after the drain limit the process ended and cut its streams without a word. Change: they end with event: handover after their next events, and their generations go on for the resume window.

--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -34,9 +34,11 @@
 # Resume tokens outlive the longest generation; the engine decides on the rest.
 TOKEN_LIFETIME_S = 3600.0
 # An engine sends the headers of its answer before the first token.
-FIRST_ANSWER_S = 5.0
+# Some send them only with it; five silences of 2 s are the same bound.
+FIRST_ANSWER_S = 10.0
 # Back-off between two connections to one endpoint.
 _PAUSE_S = 0.1
+_HANDOVER = b"event: handover\ndata: {}\n\n"
 
 
 class Call:
@@ -147,8 +149,29 @@
         self._log = log
         self._metrics = registry
         self._may_dispatch = may_dispatch
+        self._handing_over = False
         self.open_streams = 0
 
+    def hand_over(self) -> None:
+        """Ends all streams after their next events, for resumption elsewhere.
+
+        Their generations go on; nothing is cancelled before the resume window
+        is over.
+        """
+        self._handing_over = True
+
+    def pass_on(
+        self, relayed: relay.Relay, chunks: Iterator[bytes], request_id: str
+    ) -> Iterator[bytes]:
+        """Yields the events of a relay and why it ends early, if it does."""
+        for chunk in chunks:
+            yield chunk
+            if self._handing_over and not relayed.finished:
+                yield _HANDOVER
+                return
+        if relayed.failure is not None:
+            yield problems.error_event(relayed.failure, request_id=request_id)
+
     def start(self, call: Call) -> Stream | errors.Failure:
         """Starts a generation and returns once its first events are here.
 
@@ -248,11 +271,7 @@
         try:
             if first:
                 yield first
-            yield from chunks
-            if relayed.failure is not None:
-                yield problems.error_event(
-                    relayed.failure, request_id=request_id
-                )
+            yield from self.pass_on(relayed, chunks, request_id)
         finally:
             self.open_streams -= 1
             if relayed.finished or relayed.failure is not None:
@@ -378,11 +397,7 @@
         owner.open_streams += 1
         try:
             yield first
-            yield from chunks
-            if relayed.failure is not None:
-                yield problems.error_event(
-                    relayed.failure, request_id=call.request_id
-                )
+            yield from owner.pass_on(relayed, chunks, call.request_id)
         finally:
             owner.open_streams -= 1
             self._end(relayed, first_token_s)
--- a/libs/entry/src/dandelionlead/entry/node.py
+++ b/libs/entry/src/dandelionlead/entry/node.py
@@ -45,6 +45,8 @@
 # Time between a caller's last use of an old address list and its arrival here.
 LEAVE_MARGIN_S = 1.0
 _DRAIN_POLL_S = 0.1
+# Streams that are handed over end with their next events.
+_HAND_OVER_S = 3.0
 _LOOP_RESTART_S = 1.0
 
 
@@ -261,15 +263,21 @@
         # are served to their end.
         http_listener.close()
         self._http_thread.kill()
-        ends_at = clock.boottime() + self._cfg.drain_limit_s
-        while clock.boottime() < ends_at and self._busy():
-            eventlet.sleep(_DRAIN_POLL_S)
+        self._wait_idle(self._cfg.drain_limit_s)
+        if self._busy():
+            self._generations.hand_over()
+            self._wait_idle(_HAND_OVER_S)
         self._log.event(
             "stopped",
             open_streams=self._generations.open_streams,
             order_ends_to_record=self._orders.pending_repairs(),
         )
 
+    def _wait_idle(self, limit_s: float) -> None:
+        ends_at = clock.boottime() + limit_s
+        while clock.boottime() < ends_at and self._busy():
+            eventlet.sleep(_DRAIN_POLL_S)
+
     def _busy(self) -> bool:
         return bool(self._app.in_flight or self._orders.pending_repairs())
 
