--- a/libs/orders/src/dandelionlead/orders/group_commit.py
+++ b/libs/orders/src/dandelionlead/orders/group_commit.py
@@ -10,6 +10,7 @@
 import queue
 import threading
 import time
+from collections.abc import Sequence
 
 from dandelionlead.core import errors
 from dandelionlead.platform import api
@@ -140,61 +141,91 @@
             group[item.write.key] = item
 
     def _commit_group(self, group: list[_Item]) -> None:
-        left = group
-        # Each conflict answers at least one write, so this many rounds do.
-        for _ in range(len(group)):
-            outcome = self._transact(left)
-            if not isinstance(outcome, api.Conflict):
-                break
-            failed = set(outcome.failed)
-            for index in failed:
-                if 0 <= index < len(left):
-                    left[index].end(api.Conflict([0]))
-            left = [it for at, it in enumerate(left) if at not in failed]
-            if not left:
-                return
-        if isinstance(outcome, api.Committed):
-            for item, version in zip(left, outcome.versions, strict=True):
-                item.end(api.Committed([version]))
-        elif isinstance(outcome, api.OutcomeUnknown):
-            self._settle(left, outcome)
-        elif isinstance(outcome, api.Unavailable):
-            for item in left:
-                item.end(outcome)
-        else:
-            for item in left:
-                item.end(api.Unavailable("Conflicts did not end."))
+        outcomes = commit_together(self._table, [item.write for item in group])
+        for item, outcome in zip(group, outcomes, strict=True):
+            item.end(outcome)
 
-    def _transact(self, items: list[_Item]) -> api.Outcome:
-        try:
-            outcome = self._table.transact([item.write for item in items])
-        except Exception as exc:
-            # An error of the table client says nothing of the transaction.
-            return api.OutcomeUnknown(f"The table client failed: {exc!r}.")
-        whole = not isinstance(outcome, api.Committed) or (
-            len(outcome.versions) == len(items)
-        )
-        if not whole:
-            return api.OutcomeUnknown("The answer lists other rows.")
-        return outcome
-
-    def _settle(self, items: list[_Item], outcome: api.OutcomeUnknown) -> None:
-        """Reads the rows back; a row that holds the write shows the commit.
-
-        A row that does not hold it proves nothing: the transaction may take
-        effect later, or the value may have been replaced since.
-        """
-        try:
-            rows = self._table.read([item.write.key for item in items])
-        except Exception as exc:
-            rows = errors.Failure(errors.Kind.PLATFORM_UNAVAILABLE, repr(exc))
-        if isinstance(rows, errors.Failure) or len(rows) != len(items):
-            rows = [None] * len(items)
-        for item, row in zip(items, rows, strict=True):
-            if row is not None and row.value == item.write.value:
-                item.end(api.Committed([row.version]))
-            else:
-                item.end(outcome)
+
+def commit_together(
+    table: api.TableService, writes: Sequence[api.Write]
+) -> list[api.Outcome]:
+    """Commits writes of different rows in as few transactions as possible.
+
+    Returns:
+        One outcome for each write. Writes whose condition failed get a
+        `Conflict`, and the others are tried again without them.
+    """
+    outcomes: list[api.Outcome] = [
+        api.Unavailable("Conflicts did not end.") for _ in writes
+    ]
+    left = list(range(len(writes)))
+    # Each conflict answers at least one write, so this many rounds do.
+    for _ in range(len(writes)):
+        group = [writes[index] for index in left]
+        outcome = _transact(table, group)
+        if not isinstance(outcome, api.Conflict):
+            ended = _each(table, group, outcome)
+            for index, own in zip(left, ended, strict=True):
+                outcomes[index] = own
+            return outcomes
+        failed = set(outcome.failed)
+        for at, index in enumerate(left):
+            if at in failed:
+                outcomes[index] = api.Conflict([0])
+        left = [index for at, index in enumerate(left) if at not in failed]
+        if not left:
+            return outcomes
+    return outcomes
+
+
+def _transact(
+    table: api.TableService, writes: Sequence[api.Write]
+) -> api.Outcome:
+    try:
+        outcome = table.transact(writes)
+    except Exception as exc:
+        # An error of the table client says nothing of the transaction.
+        return api.OutcomeUnknown(f"The table client failed: {exc!r}.")
+    whole = not isinstance(outcome, api.Committed) or (
+        len(outcome.versions) == len(writes)
+    )
+    if not whole:
+        return api.OutcomeUnknown("The answer lists other rows.")
+    return outcome
+
+
+def _each(
+    table: api.TableService, writes: Sequence[api.Write], outcome: api.Outcome
+) -> list[api.Outcome]:
+    if isinstance(outcome, api.Committed):
+        return [api.Committed([version]) for version in outcome.versions]
+    if isinstance(outcome, api.OutcomeUnknown):
+        return _read_back(table, writes, outcome)
+    return [outcome] * len(writes)
+
+
+def _read_back(
+    table: api.TableService,
+    writes: Sequence[api.Write],
+    outcome: api.OutcomeUnknown,
+) -> list[api.Outcome]:
+    """Reads the rows; a row that holds the write shows the commit.
+
+    A row that does not hold it proves nothing: the transaction may take effect
+    later, or the value may have been replaced since.
+    """
+    try:
+        rows = table.read([write.key for write in writes])
+    except Exception as exc:
+        rows = errors.Failure(errors.Kind.PLATFORM_UNAVAILABLE, repr(exc))
+    if isinstance(rows, errors.Failure) or len(rows) != len(writes):
+        return [outcome] * len(writes)
+    return [
+        api.Committed([row.version])
+        if row is not None and row.value == write.value
+        else outcome
+        for write, row in zip(writes, rows, strict=True)
+    ]
 
 
 class _Item:
--- a/libs/orders/tests/test_runner.py
+++ b/libs/orders/tests/test_runner.py
@@ -1,5 +1,6 @@
 """Guards against an order that runs twice, or is told a false outcome."""
 
+import time
 import unittest
 
 from dandelionlead.core import errors
@@ -153,6 +154,33 @@
         self.assertEqual(failure.kind, errors.Kind.CONFLICT)
         self.assertEqual(len(self.sent), 1)
 
+    def test_end_that_could_not_be_recorded_is_recorded_later(self):
+        self.table.faults = [None, "unavailable"]
+        self.assertEqual(self.runner.run(self.order()).status, 200)
+        ends_at = time.monotonic() + 5
+        while self.runner.pending_repairs() and time.monotonic() < ends_at:
+            time.sleep(0.01)
+        self.assertEqual(self.state(), record.State.DONE)
+
+    def test_late_answer_turns_unknown_into_done(self):
+        self.reply = steps.Lost("cut")
+        self.runner.run(self.order())
+        answered = steps.Answered(201, [], b"late")
+        self.runner.late_answer(self.order(), self.sent[0], answered)
+        ends_at = time.monotonic() + 5
+        while self.runner.pending_repairs() and time.monotonic() < ends_at:
+            time.sleep(0.01)
+        self.assertEqual(self.runner.run(self.order()).body, b"late")
+
+    def test_large_answer_is_recorded_as_a_digest(self):
+        body = b"x" * (record.ANSWER_BYTES_LIMIT + 1)
+        self.reply = steps.Answered(200, [], body)
+        self.assertEqual(self.runner.run(self.order()).body, body)
+        again = self.runner.run(self.order())
+        self.assertEqual(
+            (again.omitted, again.body, again.size), (True, b"", len(body))
+        )
+
     def test_started_by_another_is_in_progress(self):
         rec = record.Record(
             record.State.STARTED, "other", self.order().body_sha256
