Choose endpoints by score, budget retries and stop requests that crash

Cause: the entry chose endpoints at random, retried three times whatever happened, and a request that crashes its endpoint could crash all of them. Change: routing_view puts the routing library to work: score of free units, prefix affinity and zone, health with single probes, ramp of a returning zone, retry budget with jittered back-off, and crash evidence in gossip. After a broken attempt the entry asks the endpoint whether it still runs before it tries again, so that the evidence is there before the retry. Ruled out: noting a crash in the background (the retry of a poisonous request was sent before the evidence); counting every failure as a crash (a silent connection is none).

--- a/libs/entry/src/dandelionlead/entry/app.py
+++ b/libs/entry/src/dandelionlead/entry/app.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -18,6 +17,7 @@
 from dandelionlead.entry import http_input
 from dandelionlead.entry import problems
 from dandelionlead.entry import services
+from dandelionlead.routing import suspects
 
 if TYPE_CHECKING:
     from dandelionlead.core import events
@@ -262,7 +262,7 @@
         if "max_tokens" not in body:
             wanted.max_tokens = route.max_tokens
             body["max_tokens"] = route.max_tokens
-        fingerprint = _fingerprint(wanted)
+        fingerprint = suspects.fingerprint(wanted.model, wanted.prompt)
         refusal = self._quarantined(fingerprint)
         if refusal is not None:
             return refusal
@@ -463,11 +463,6 @@
     )
 
 
-def _fingerprint(wanted: generation_input.GenerationInput) -> str:
-    data = f"{wanted.model}\0{wanted.prompt}".encode()
-    return hashlib.sha256(data).hexdigest()
-
-
 def _path_with_query(environ: dict[str, Any]) -> str:
     path = environ.get("RAW_PATH_INFO") or environ["PATH_INFO"]
     query = environ.get("QUERY_STRING")
--- a/libs/entry/src/dandelionlead/entry/capacity.py
+++ b/libs/entry/src/dandelionlead/entry/capacity.py
@@ -66,6 +66,11 @@
         status = self._accepts.get(endpoint)
         return 0 if status is None else status.free_units
 
+    def limit_units(self, endpoint: str) -> int:
+        """Returns the endpoint's whole limit, as its owner said last."""
+        status = self._accepts.get(endpoint)
+        return 1 if status is None else max(1, status.limit_units)
+
     def note_first_token(self, endpoint: str, seconds: float) -> None:
         """Notes a measured first-token time for the next report."""
         self._first_token_s.setdefault(endpoint, []).append(seconds)
--- a/libs/entry/src/dandelionlead/entry/engine_client.py
+++ b/libs/entry/src/dandelionlead/entry/engine_client.py
@@ -88,7 +88,7 @@
 
         Returns:
             The answer once its headers are there, or a failure:
-            ENDPOINT_UNREACHABLE if nothing was sent, NO_ENDPOINT if the
+            ENDPOINT_UNREACHABLE if nothing was sent, OVERLOADED if the
             engine refused the generation, ENDPOINT_FAILED otherwise.
         """
         headers = {
@@ -224,7 +224,7 @@
     resp.close()
     if status in (429, 503):
         return errors.Failure(
-            errors.Kind.NO_ENDPOINT, f"the endpoint refused with {status}"
+            errors.Kind.OVERLOADED, f"the endpoint refused with {status}"
         )
     return _failed(f"the endpoint answered {status}")
 
--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -246,6 +246,7 @@
             call.wanted.model,
             work,
             lambda: self._view.candidates(call),
+            alone=self._view.runs_alone(call.fingerprint),
         )
         queued_at = clock.boottime()
         placed = self._queue.wait(
@@ -325,7 +326,7 @@
             )
         self._started_at = clock.boottime()
         owner._queue.started(self._placed, self._work)
-        owner._view.running(self._endpoint.name)
+        owner._view.begin(self._endpoint.name, self._generation_id, call)
         owner._log.event(
             "dispatch",
             req=call.request_id,
@@ -367,9 +368,12 @@
         chunks = relayed.chunks(reader)
         first = next(chunks, b"")
         if not first:
-            failure = relayed.failure or errors.Failure(
-                errors.Kind.GENERATION_LOST, "the endpoint sent no event"
+            reason = (
+                relayed.failure.reason
+                if relayed.failure
+                else "the endpoint sent no event"
             )
+            failure = errors.Failure(errors.Kind.GENERATION_LOST, reason)
             self._failed(failure, nothing_ran=False)
             return failure
         first_token_s = clock.boottime() - self._started_at
@@ -423,7 +427,7 @@
             self._failed(relayed.failure, nothing_ran=False)
         else:
             # The caller has gone and may resume at another entry.
-            owner._view.ended(self._endpoint.name)
+            owner._view.left(self._endpoint.name, self._generation_id)
             self._leave_running()
 
     def _finish_ok(
@@ -434,7 +438,7 @@
         owner._results.succeeded(
             call, self._endpoint, self._version, first_token_s, gap_s
         )
-        owner._view.ended(self._endpoint.name)
+        owner._view.ended_well(self._endpoint.name, self._generation_id)
         self._release()
 
     def _failed(self, failure: errors.Failure, *, nothing_ran: bool) -> None:
@@ -442,7 +446,10 @@
         name = self._endpoint.name
         owner._capacity.note_failed(name)
         owner._results.failed(call, self._endpoint, self._version, failure)
-        owner._view.ended(name)
+        incarnation = self._placed.lease.incarnation
+        owner._view.failed(
+            self._endpoint, self._generation_id, incarnation, failure
+        )
         if nothing_ran:
             self._release()
         else:
@@ -530,7 +537,7 @@
 def _never_ran(failure: errors.Failure) -> bool:
     return failure.kind in (
         errors.Kind.ENDPOINT_UNREACHABLE,
-        errors.Kind.NO_ENDPOINT,
+        errors.Kind.OVERLOADED,
     )
 
 
--- a/libs/entry/src/dandelionlead/entry/node.py
+++ b/libs/entry/src/dandelionlead/entry/node.py
@@ -99,7 +99,14 @@
             self._capacity.saw_incarnation,
         )
         self._placement = placement.Placement(self._capacity)
-        self._view = routing_view.RoutingView(self._current)
+        self._view = routing_view.RoutingView(
+            cfg.availability_zone,
+            self._current,
+            self._capacity,
+            self._engines,
+            log,
+        )
+        self._gossip.extensions.append(self._view)
         self._outcomes = outcomes.Outcomes(self._metrics)
         signer = tokens.Signer(cfg.resume_keys)
         self._generations = generation.Generations(
@@ -132,7 +139,7 @@
         self._app = app.Application(
             current=self._current,
             refusal=self._refusal,
-            quarantined=lambda _: None,
+            quarantined=self._view.refusal,
             generations=self._generations,
             plain_services=self._services,
             signer=signer,
@@ -210,6 +217,7 @@
             ],
             "owned_endpoints": self._owners.dump(),
             "capacity": self._capacity.dump(),
+            "routing": self._view.dump(),
             "outcomes": self._outcomes.dump(),
             "requests": {
                 "in_flight": self._app.in_flight,
@@ -289,7 +297,9 @@
         return self._keeper.current
 
     def _rules_changed(self) -> None:
-        self._placement.configure(self._keeper.current.operators)
+        operators = self._keeper.current.operators
+        self._view.configure(operators)
+        self._placement.configure(operators)
         self._placement.pump()
 
     def _units_changed(self) -> None:
--- a/libs/entry/src/dandelionlead/entry/placement.py
+++ b/libs/entry/src/dandelionlead/entry/placement.py
@@ -43,10 +43,11 @@
         model: Name of the model.
         work: Its memory.
         candidates: Returns the endpoints that may run it now, the best first.
+        alone: Whether it needs all units of an endpoint.
         placed: Set with a `Placed` or a failure.
     """
 
-    __slots__ = ("request_id", "model", "work", "candidates", "placed")
+    __slots__ = ("request_id", "model", "work", "candidates", "alone", "placed")
 
     def __init__(
         self,
@@ -54,11 +55,14 @@
         model_name: str,
         work: lengths.Work,
         candidates: Callable[[], list[model.Endpoint]],
+        *,
+        alone: bool = False,
     ) -> None:
         self.request_id = request_id
         self.model = model_name
         self.work = work
         self.candidates = candidates
+        self.alone = alone
         self.placed: event.Event = event.Event()
 
 
@@ -181,9 +185,7 @@
         for endpoint in candidates:
             if not self._capacity.accepts_work(endpoint.name):
                 continue
-            running = self._running.get(endpoint.name, [])
-            units = max(1, self._policy.needed(running, wish.work))
-            units = min(units, endpoint.memory_tokens)
+            units = self._units_at(wish, endpoint)
             if self._capacity.pool.unused(endpoint.name, now) < units:
                 continue
             lease = self._capacity.pool.take(endpoint.name, units, now)
@@ -198,11 +200,17 @@
         """Notes the miss at the best endpoint that may have units."""
         for endpoint in candidates:
             if self._capacity.accepts_work(endpoint.name):
-                units = max(1, self._policy.needed([], wish.work))
-                units = min(units, endpoint.memory_tokens)
+                units = self._units_at(wish, endpoint)
                 self._capacity.pool.take(endpoint.name, units, now)
                 return
 
+    def _units_at(self, wish: Wish, endpoint: model.Endpoint) -> int:
+        if wish.alone:
+            return max(1, self._capacity.limit_units(endpoint.name))
+        running = self._running.get(endpoint.name, [])
+        units = max(1, self._policy.needed(running, wish.work))
+        return min(units, endpoint.memory_tokens)
+
     def _units(self, work: lengths.Work) -> int:
         return max(1, self._policy.needed([], work))
 
--- a/libs/entry/src/dandelionlead/entry/services.py
+++ b/libs/entry/src/dandelionlead/entry/services.py
@@ -237,6 +237,11 @@
         finally:
             self._in_use[endpoint.name] -= 1
         failed = not isinstance(sent, steps.Answered)
+        self._view.service_result(
+            endpoint.name,
+            connected=not isinstance(sent, steps.NotSent),
+            answered=not failed,
+        )
         fields: dict[str, Any] = {"outcome": type(sent).__name__.lower()}
         if failed:
             fields["reason"] = sent.reason
