Move what every daemon runs into a member of its own

Cause: the steward needs rules in force, gossip, peer calls and start-up as the entry does; importing them from the entry would tie the two programs together. Change: member daemon; owners of endpoints are an abstract base there; a listed instance without an address for callers is no entry. Ruled out: merging the steward into the entry (the streams' loop would wait for the steward's orders). Conclusion: a daemon is now gossip plus its own extensions.

--- /dev/null
+++ b/libs/daemon/src/dandelionlead/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of every daemon: settings, rules in force, gossip, peer calls."""
--- a/libs/entry/src/dandelionlead/entry/gossip.py
+++ b/libs/daemon/src/dandelionlead/daemon/gossip.py
@@ -13,7 +13,7 @@
 from dandelionlead.config import head as config_head
 from dandelionlead.core import clock
 from dandelionlead.core import errors
-from dandelionlead.entry import convert
+from dandelionlead.daemon import convert
 from dandelionlead.membership import members
 from dandelionlead.platform import api
 from dandelionlead.wire.gen import ttypes
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from dandelionlead.admission import parts
     from dandelionlead.core import events
-    from dandelionlead.entry import rules
+    from dandelionlead.daemon import rules
     from dandelionlead.membership import freshness
 
 EXCHANGE_PERIOD_S = 1.0
@@ -149,7 +149,7 @@
         if isinstance(listed, errors.Failure):
             return
         self._table.observe_listed(listed, clock.boottime())
-        self._part.listed(self._entry_names(listed), sent_at)
+        self._part.listed(_entry_names(listed), sent_at)
 
     def notify(self, message: ttypes.ConfigHead) -> ttypes.NotifyReply:
         """Takes in a head that an operator has committed."""
@@ -263,14 +263,6 @@
             counts[own.name] = own.incarnation
         return counts
 
-    def _entry_names(self, listed: list[api.Listed]) -> list[str]:
-        names = []
-        for item in listed:
-            known = self._table.get(item.name)
-            if known is None or known.role != members.ROLE_STEWARD:
-                names.append(item.name)
-        return names
-
     def _learn(self, head: Any) -> None:
         self._keeper.learn(head, clock.boottime())
         self._complete()
@@ -338,3 +330,8 @@
 def _digest(counts: dict[str, int]) -> str:
     text = ",".join(f"{name}={counts[name]}" for name in sorted(counts))
     return hashlib.blake2b(text.encode(), digest_size=8).hexdigest()
+
+
+def _entry_names(listed: list[api.Listed]) -> list[str]:
+    # Only entries have an address for callers.
+    return [item.name for item in listed if item.http]
--- a/libs/entry/src/dandelionlead/entry/peer_handler.py
+++ b/libs/daemon/src/dandelionlead/daemon/peer_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 from typing import TYPE_CHECKING
 
 from dandelionlead.wire.gen import ttypes
@@ -10,13 +11,54 @@
     from collections.abc import Callable
 
     from dandelionlead.core import events
-    from dandelionlead.entry import gossip
-    from dandelionlead.entry import owners
-    from dandelionlead.entry import rules
+    from dandelionlead.daemon import gossip
+    from dandelionlead.daemon import rules
 
 MAX_PARTS_PER_CALL = 256
 
 
+class EndpointOwner(abc.ABC):
+    """Owner of endpoints, which grants their units to members."""
+
+    @abc.abstractmethod
+    def acquire(self, req: ttypes.AcquireRequest) -> ttypes.AcquireReply:
+        """Grants units, or says why not."""
+
+    @abc.abstractmethod
+    def report(self, req: ttypes.ReportRequest) -> ttypes.ReportReply:
+        """Takes in what a member has at work."""
+
+
+class NoEndpoints(EndpointOwner):
+    """A process that owns no endpoints, such as a steward."""
+
+    def acquire(self, req: ttypes.AcquireRequest) -> ttypes.AcquireReply:
+        """Refuses."""
+        return ttypes.AcquireReply(
+            refused_reason="This process owns no endpoints.",
+            status=no_status(req.endpoint),
+        )
+
+    def report(self, req: ttypes.ReportRequest) -> ttypes.ReportReply:
+        """Answers that no endpoint takes work here."""
+        return ttypes.ReportReply(
+            endpoints=[no_status(item.endpoint) for item in req.endpoints or []]
+        )
+
+
+def no_status(endpoint: str) -> ttypes.EndpointStatus:
+    """Returns the state of an endpoint that this process does not own."""
+    return ttypes.EndpointStatus(
+        endpoint=endpoint,
+        incarnation="",
+        limit_units=0,
+        free_units=0,
+        accepts_work=False,
+        reason="it is not owned by this process",
+        stamp="",
+    )
+
+
 class PeerHandler:
     """Implements the service `Peer` of `peer.thrift`."""
 
@@ -24,7 +66,7 @@
         self,
         name: str,
         news: gossip.Gossip,
-        owned: owners.Owners | None,
+        owned: EndpointOwner,
         keeper: rules.RulesKeeper,
         log: events.Log,
         dump: Callable[[], str],
--- a/libs/entry/src/dandelionlead/entry/app.py
+++ b/libs/entry/src/dandelionlead/entry/app.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from dandelionlead.core import events
     from dandelionlead.core import metrics
-    from dandelionlead.entry import rules
+    from dandelionlead.daemon import rules
     from dandelionlead.orders import record
     from dandelionlead.streams import tokens
 
--- a/libs/entry/src/dandelionlead/entry/capacity.py
+++ b/libs/entry/src/dandelionlead/entry/capacity.py
@@ -11,7 +11,7 @@
 from dandelionlead.admission import ownership
 from dandelionlead.core import clock
 from dandelionlead.core import errors
-from dandelionlead.entry import convert
+from dandelionlead.daemon import convert
 from dandelionlead.wire.gen import ttypes
 
 if TYPE_CHECKING:
--- a/libs/entry/src/dandelionlead/entry/owners.py
+++ b/libs/entry/src/dandelionlead/entry/owners.py
@@ -11,7 +11,8 @@
 from dandelionlead.admission import ownership
 from dandelionlead.core import clock
 from dandelionlead.core import errors
-from dandelionlead.entry import convert
+from dandelionlead.daemon import convert
+from dandelionlead.daemon import peer_handler
 from dandelionlead.wire.gen import ttypes
 
 if TYPE_CHECKING:
@@ -28,7 +29,7 @@
 _IDLE_S = 5.0
 
 
-class Owners:
+class Owners(peer_handler.EndpointOwner):
     """Answers `acquire` and `report`, and reads the load of endpoints.
 
     Args:
@@ -63,7 +64,7 @@
         if ledger is None:
             return ttypes.AcquireReply(
                 refused_reason=f"Endpoint {req.endpoint} is not configured.",
-                status=_unknown_status(req.endpoint),
+                status=peer_handler.no_status(req.endpoint),
             )
         ledger.delegate(
             req.member,
@@ -96,7 +97,7 @@
         for item in req.endpoints or []:
             ledger = self._ledger(item.endpoint)
             if ledger is None:
-                answers.append(_unknown_status(item.endpoint))
+                answers.append(peer_handler.no_status(item.endpoint))
                 continue
             ledger.delegate(
                 req.member,
@@ -228,15 +229,3 @@
         )
     except (KeyError, TypeError, ValueError, AttributeError):
         return None
-
-
-def _unknown_status(endpoint: str) -> ttypes.EndpointStatus:
-    return ttypes.EndpointStatus(
-        endpoint=endpoint,
-        incarnation="",
-        limit_units=0,
-        free_units=0,
-        accepts_work=False,
-        reason="it is not configured here",
-        stamp="",
-    )
--- a/libs/entry/src/dandelionlead/entry/routing_view.py
+++ b/libs/entry/src/dandelionlead/entry/routing_view.py
@@ -11,7 +11,7 @@
 from dandelionlead.config import model
 from dandelionlead.core import clock
 from dandelionlead.core import errors
-from dandelionlead.entry import gossip
+from dandelionlead.daemon import gossip
 from dandelionlead.routing import choice
 from dandelionlead.routing import health
 from dandelionlead.routing import prefix
@@ -21,10 +21,10 @@
 
 if TYPE_CHECKING:
     from dandelionlead.core import events
+    from dandelionlead.daemon import rules
     from dandelionlead.entry import capacity
     from dandelionlead.entry import engine_client
     from dandelionlead.entry import generation
-    from dandelionlead.entry import rules
 
 # Evidence on crashes in one gossip message: at 130 bytes an item this is 4 KB,
 # and only after crashes.
--- a/libs/entry/src/dandelionlead/entry/services.py
+++ b/libs/entry/src/dandelionlead/entry/services.py
@@ -20,8 +20,8 @@
 
     from dandelionlead.config import model
     from dandelionlead.core import events
+    from dandelionlead.daemon import rules
     from dandelionlead.entry import routing_view
-    from dandelionlead.entry import rules
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
