--- a/libs/entry/src/dandelionlead/entry/node.py
+++ b/libs/entry/src/dandelionlead/entry/node.py
@@ -16,18 +16,18 @@
 from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.core import metrics
+from dandelionlead.daemon import gossip
+from dandelionlead.daemon import peer_handler
+from dandelionlead.daemon import rules
 from dandelionlead.entry import app
 from dandelionlead.entry import capacity
 from dandelionlead.entry import engine_client
 from dandelionlead.entry import generation
-from dandelionlead.entry import gossip
 from dandelionlead.entry import http_server
 from dandelionlead.entry import outcomes
 from dandelionlead.entry import owners
-from dandelionlead.entry import peer_handler
 from dandelionlead.entry import placement
 from dandelionlead.entry import routing_view
-from dandelionlead.entry import rules
 from dandelionlead.entry import services
 from dandelionlead.membership import freshness
 from dandelionlead.membership import members
@@ -45,6 +45,8 @@
 # Time between a caller's last use of an old address list and its arrival here.
 LEAVE_MARGIN_S = 1.0
 _DRAIN_POLL_S = 0.1
+# Streams that are handed over end with their next events.
+_HAND_OVER_S = 3.0
 _LOOP_RESTART_S = 1.0
 
 
@@ -97,7 +99,14 @@
             self._capacity.saw_incarnation,
         )
         self._placement = placement.Placement(self._capacity)
-        self._view = routing_view.RoutingView(self._current)
+        self._view = routing_view.RoutingView(
+            cfg.availability_zone,
+            self._current,
+            self._capacity,
+            self._engines,
+            log,
+        )
+        self._gossip.extensions.append(self._view)
         self._outcomes = outcomes.Outcomes(self._metrics)
         signer = tokens.Signer(cfg.resume_keys)
         self._generations = generation.Generations(
@@ -130,7 +139,7 @@
         self._app = app.Application(
             current=self._current,
             refusal=self._refusal,
-            quarantined=lambda _: None,
+            quarantined=self._view.refusal,
             generations=self._generations,
             plain_services=self._services,
             signer=signer,
@@ -208,6 +217,7 @@
             ],
             "owned_endpoints": self._owners.dump(),
             "capacity": self._capacity.dump(),
+            "routing": self._view.dump(),
             "outcomes": self._outcomes.dump(),
             "requests": {
                 "in_flight": self._app.in_flight,
@@ -261,15 +271,21 @@
         # are served to their end.
         http_listener.close()
         self._http_thread.kill()
-        ends_at = clock.boottime() + self._cfg.drain_limit_s
-        while clock.boottime() < ends_at and self._busy():
-            eventlet.sleep(_DRAIN_POLL_S)
+        self._wait_idle(self._cfg.drain_limit_s)
+        if self._busy():
+            self._generations.hand_over()
+            self._wait_idle(_HAND_OVER_S)
         self._log.event(
             "stopped",
             open_streams=self._generations.open_streams,
             order_ends_to_record=self._orders.pending_repairs(),
         )
 
+    def _wait_idle(self, limit_s: float) -> None:
+        ends_at = clock.boottime() + limit_s
+        while clock.boottime() < ends_at and self._busy():
+            eventlet.sleep(_DRAIN_POLL_S)
+
     def _busy(self) -> bool:
         return bool(self._app.in_flight or self._orders.pending_repairs())
 
@@ -281,7 +297,9 @@
         return self._keeper.current
 
     def _rules_changed(self) -> None:
-        self._placement.configure(self._keeper.current.operators)
+        operators = self._keeper.current.operators
+        self._view.configure(operators)
+        self._placement.configure(operators)
         self._placement.pump()
 
     def _units_changed(self) -> None:
--- a/libs/entry/src/dandelionlead/entry/services.py
+++ b/libs/entry/src/dandelionlead/entry/services.py
@@ -20,8 +20,8 @@
 
     from dandelionlead.config import model
     from dandelionlead.core import events
+    from dandelionlead.daemon import rules
     from dandelionlead.entry import routing_view
-    from dandelionlead.entry import rules
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
@@ -237,6 +237,11 @@
         finally:
             self._in_use[endpoint.name] -= 1
         failed = not isinstance(sent, steps.Answered)
+        self._view.service_result(
+            endpoint.name,
+            connected=not isinstance(sent, steps.NotSent),
+            answered=not failed,
+        )
         fields: dict[str, Any] = {"outcome": type(sent).__name__.lower()}
         if failed:
             fields["reason"] = sent.reason
