--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -249,9 +249,7 @@
             alone=self._view.runs_alone(call.fingerprint),
         )
         queued_at = clock.boottime()
-        placed = self._queue.wait(
-            wish, call.team.name, call.route.priority, call.deadline
-        )
+        placed = self._place(wish, call)
         if isinstance(placed, errors.Failure):
             return placed
         self._metrics.record(
@@ -260,6 +258,22 @@
         attempt = _Attempt(self, call, placed, work)
         return attempt.run()
 
+    def _place(
+        self, wish: placement.Wish, call: Call
+    ) -> placement.Placed | errors.Failure:
+        """Waits for an endpoint that the rules in force still allow."""
+        while True:
+            placed = self._queue.wait(
+                wish, call.team.name, call.route.priority, call.deadline
+            )
+            if isinstance(placed, errors.Failure):
+                return placed
+            if self._view.is_open(placed.endpoint.name):
+                return placed
+            # The rules changed since the request was placed.
+            self._capacity.pool.release(placed.lease, clock.boottime())
+            wish.reset()
+
     def _resumed(
         self,
         relayed: relay.Relay,
--- a/libs/entry/src/dandelionlead/entry/generation_input.py
+++ b/libs/entry/src/dandelionlead/entry/generation_input.py
@@ -79,9 +79,13 @@
     if not isinstance(stream, bool):
         return _bad("stream must be true or false")
     buyer = body.get("user", "")
-    if not isinstance(buyer, str) or len(buyer) > MAX_BUYER_CHARS:
+    if (
+        not isinstance(buyer, str)
+        or len(buyer) > MAX_BUYER_CHARS
+        or not _is_unicode(buyer)
+    ):
         return _bad(
-            f"user must be text of at most {MAX_BUYER_CHARS} characters"
+            f"user must be Unicode text of at most {MAX_BUYER_CHARS} characters"
         )
     return GenerationInput(
         model=model,
@@ -110,11 +114,20 @@
 
 def _prompt(body: dict[str, Any]) -> str | errors.Failure:
     prompt = body.get("prompt")
-    if not isinstance(prompt, str) or not prompt:
-        return _bad("prompt must be text that is not empty")
+    if not isinstance(prompt, str) or not prompt or not _is_unicode(prompt):
+        return _bad("prompt must be Unicode text that is not empty")
     return prompt
 
 
+def _is_unicode(text: str) -> bool:
+    # JSON may hold lone surrogates, which cannot be encoded.
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def _is_int(value: object) -> bool:
     return isinstance(value, int) and not isinstance(value, bool)
 
--- a/libs/entry/src/dandelionlead/entry/placement.py
+++ b/libs/entry/src/dandelionlead/entry/placement.py
@@ -63,6 +63,10 @@
         self.work = work
         self.candidates = candidates
         self.alone = alone
+        self.reset()
+
+    def reset(self) -> None:
+        """Makes it wait again."""
         self.placed: event.Event = event.Event()
 
 
--- a/libs/entry/src/dandelionlead/entry/routing_view.py
+++ b/libs/entry/src/dandelionlead/entry/routing_view.py
@@ -132,6 +132,12 @@
             if self._may_run(call.fingerprint, name)
         ]
 
+    def is_open(self, name: str) -> bool:
+        """Whether the rules in force allow new work on an endpoint."""
+        current = self._current()
+        endpoint = current.operators.endpoints.get(name) if current else None
+        return endpoint is not None and current.is_open(endpoint)
+
     def runs_alone(self, fingerprint: str) -> bool:
         """Whether a request needs an endpoint to itself."""
         verdict = self.suspects.verdict(fingerprint, clock.boottime())
--- a/libs/entry/src/dandelionlead/entry/services.py
+++ b/libs/entry/src/dandelionlead/entry/services.py
@@ -24,6 +24,8 @@
     from dandelionlead.entry import routing_view
 
 CONNECT_TIMEOUT_S = 1.0
+# Calls that wait for a full endpoint look again this often.
+_FULL_PAUSE_S = 0.01
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # Headers of an answer that belong to one connection.
 _HOP_HEADERS = frozenset(
@@ -198,21 +200,32 @@
     def _pick(
         self, call: ServiceCall, tried: set[str]
     ) -> model.Endpoint | None:
+        """Returns an endpoint; waits while all that may do are at the limit."""
+        while True:
+            usable = self._usable(call, tried)
+            free = [item for item in usable if not self._is_full(item)]
+            if free:
+                self._rng.shuffle(free)
+                return min(free, key=lambda item: self._used(item.name))
+            if not usable or clock.boottime() + _FULL_PAUSE_S > call.deadline:
+                return None
+            eventlet.sleep(_FULL_PAUSE_S)
+
+    def _usable(
+        self, call: ServiceCall, tried: set[str]
+    ) -> list[model.Endpoint]:
         current = self._current()
         if current is None:
-            return None
-        entries = max(1, self._entries())
-        fitting = []
-        for item in current.service_endpoints(call.route.service):
-            # Entries share an endpoint's limit equally, at least one call each.
-            share = max(1, item.max_concurrent // entries)
-            if item.name not in tried and self._used(item.name) < share:
-                fitting.append(item)
-        usable = self._view.healthy(fitting)
-        if not usable:
-            return None
-        self._rng.shuffle(usable)
-        return min(usable, key=lambda item: self._used(item.name))
+            return []
+        found = current.service_endpoints(call.route.service)
+        return self._view.healthy(
+            [item for item in found if item.name not in tried]
+        )
+
+    def _is_full(self, item: model.Endpoint) -> bool:
+        # Entries share an endpoint's limit equally, at least one call each.
+        share = item.max_concurrent // max(1, self._entries())
+        return self._used(item.name) >= max(1, share)
 
     def _used(self, name: str) -> int:
         return self._in_use.get(name, 0)
