Keep one class for the platform's clients

Cause: duplicates showed the same class and the same connection code in ctl and daemon. Change: api.Platform and http.connect. Conclusion: one place to add a client.

--- a/libs/ctl/src/dandelionlead/ctl/applying.py
+++ b/libs/ctl/src/dandelionlead/ctl/applying.py
@@ -12,12 +12,12 @@
 from dandelionlead.ctl import apply
 from dandelionlead.ctl import confirm
 from dandelionlead.ctl import exits
-from dandelionlead.ctl import platforms
+from dandelionlead.platform import api
 
 
 def run(
     operators: model.Operators,
-    platform: platforms.Platform,
+    platform: api.Platform,
     notifier: confirm.Notifier,
     timing: apply.Timing,
     *,
@@ -73,7 +73,7 @@
 
 def _confirm(
     result: apply.Accepted,
-    platform: platforms.Platform,
+    platform: api.Platform,
     notifier: confirm.Notifier,
     timing: apply.Timing,
 ) -> answers.Answer:
--- a/libs/ctl/src/dandelionlead/ctl/connect.py
+++ b/libs/ctl/src/dandelionlead/ctl/connect.py
@@ -4,20 +4,15 @@
 
 from dandelionlead.config import model
 from dandelionlead.ctl import peers
-from dandelionlead.ctl import platforms
+from dandelionlead.platform import api
 
 
-def to_platform(settings: model.Process) -> platforms.Platform:
+def to_platform(settings: model.Process) -> api.Platform:
     """Returns clients of the platform's services."""
     # Imported here so that `check` needs no network library.
     from dandelionlead.platform import http
 
-    transport = http.Transport(settings.platform_address)
-    return platforms.Platform(
-        http.HttpTable(transport),
-        http.HttpObjects(transport),
-        http.HttpInstances(transport),
-    )
+    return http.connect(settings.platform_address)
 
 
 def to_peers(settings: model.Process) -> peers.Peers:
--- a/libs/ctl/src/dandelionlead/ctl/platforms.py
+++ b/libs/ctl/src/dandelionlead/ctl/platforms.py
@@ -10,23 +10,7 @@
 from dandelionlead.platform import api
 
 
-class Platform:
-    """Contracts of the platform that commands need."""
-
-    __slots__ = ("table", "objects", "instances")
-
-    def __init__(
-        self,
-        table: api.TableService,
-        objects: api.ObjectStore,
-        instances: api.InstanceList,
-    ) -> None:
-        self.table = table
-        self.objects = objects
-        self.instances = instances
-
-
-def read_head(platform: Platform) -> head.Head | errors.Failure:
+def read_head(platform: api.Platform) -> head.Head | errors.Failure:
     """Returns the accepted head; `head.NONE_YET` before the first apply."""
     rows = platform.table.read([apply.HEAD_KEY])
     if isinstance(rows, errors.Failure):
@@ -35,7 +19,7 @@
 
 
 def read_content(
-    platform: Platform, accepted: head.Head
+    platform: api.Platform, accepted: head.Head
 ) -> model.Operators | errors.Failure:
     """Returns the content of a head from the object store, checked."""
     content = {}
--- a/libs/ctl/src/dandelionlead/ctl/show.py
+++ b/libs/ctl/src/dandelionlead/ctl/show.py
@@ -8,9 +8,10 @@
 from dandelionlead.ctl import answers
 from dandelionlead.ctl import exits
 from dandelionlead.ctl import platforms
+from dandelionlead.platform import api
 
 
-def run(platform: platforms.Platform) -> answers.Answer:
+def run(platform: api.Platform) -> answers.Answer:
     """Returns the head and content from the platform."""
     accepted = platforms.read_head(platform)
     if isinstance(accepted, errors.Failure):
--- a/libs/ctl/src/dandelionlead/ctl/status.py
+++ b/libs/ctl/src/dandelionlead/ctl/status.py
@@ -17,7 +17,7 @@
 _SETTLED = "settled"
 
 
-def run(platform: platforms.Platform) -> answers.Answer:
+def run(platform: api.Platform) -> answers.Answer:
     """Returns the state of zones and rollouts as the platform has it."""
     accepted = platforms.read_head(platform)
     if isinstance(accepted, errors.Failure):
--- a/libs/ctl/src/dandelionlead/ctl/trace.py
+++ b/libs/ctl/src/dandelionlead/ctl/trace.py
@@ -11,7 +11,7 @@
 from dandelionlead.ctl import answers
 from dandelionlead.ctl import exits
 from dandelionlead.ctl import peers
-from dandelionlead.ctl import platforms
+from dandelionlead.platform import api
 
 _LINE = re.compile(r"ts=(\d+\.\d+) (event=.*)")
 _PROCESS = re.compile(r"(?: |^)process=(\S+)")
@@ -22,7 +22,7 @@
 
 def run(
     request_id: str,
-    platform: platforms.Platform,
+    platform: api.Platform,
     asked: peers.Peers,
     logs: Sequence[pathlib.Path] = (),
 ) -> answers.Answer:
--- a/libs/ctl/tests/test_commands.py
+++ b/libs/ctl/tests/test_commands.py
@@ -19,7 +19,6 @@
 from dandelionlead.ctl import fanout
 from dandelionlead.ctl import main
 from dandelionlead.ctl import peers
-from dandelionlead.ctl import platforms
 from dandelionlead.ctl import show
 from dandelionlead.ctl import status
 from dandelionlead.ctl import trace
@@ -94,7 +93,7 @@
 
 
 def _apply(fake, notified=None, **kwargs):
-    platform = platforms.Platform(fake, fake, fake)
+    platform = api.Platform(fake, fake, fake)
     notified = notified or Notified()
     timing = Clock().timing()
     return applying.run(_content(), platform, notified, timing, **kwargs)
@@ -165,7 +164,7 @@
 class ReadTest(unittest.TestCase):
     def setUp(self):
         self.fake = Fake()
-        self.platform = platforms.Platform(self.fake, self.fake, self.fake)
+        self.platform = api.Platform(self.fake, self.fake, self.fake)
 
     def test_show_and_status_before_the_first_apply(self):
         for command in (show.run, status.run):
@@ -229,7 +228,7 @@
             peers.Event("a", 3.0000000001, "event=ended process=a req=r1"),
         ]
         fake = Fake("a", "b", "c")
-        platform = platforms.Platform(fake, fake, fake)
+        platform = api.Platform(fake, fake, fake)
         with tempfile.TemporaryDirectory() as folder:
             path = pathlib.Path(folder) / "gone.log"
             path.write_text(log)
@@ -246,7 +245,7 @@
 
     def test_unknown_request_is_not_found(self):
         fake = Fake("a")
-        platform = platforms.Platform(fake, fake, fake)
+        platform = api.Platform(fake, fake, fake)
         answer = trace.run("r1", platform, Traced({"a:2": []}))
         self.assertEqual(answer.code, exits.NOT_FOUND)
 
--- a/libs/daemon/src/dandelionlead/daemon/gossip.py
+++ b/libs/daemon/src/dandelionlead/daemon/gossip.py
@@ -69,7 +69,7 @@
         fresh: freshness.Freshness,
         keeper: rules.RulesKeeper,
         member_part: parts.MemberPart,
-        platform: Platform,
+        platform: api.Platform,
         call: Callable[..., Any],
         log: events.Log,
         changed: Callable[[], None],
@@ -307,22 +307,6 @@
                 self._keeper.add_parts({digest: data})
 
 
-class Platform:
-    """Contracts of the platform that daemons use."""
-
-    __slots__ = ("table", "objects", "instances")
-
-    def __init__(
-        self,
-        table: api.TableService,
-        objects: api.ObjectStore,
-        instances: api.InstanceList,
-    ) -> None:
-        self.table = table
-        self.objects = objects
-        self.instances = instances
-
-
 def _value(row: api.Row | None) -> dict[str, Any] | None:
     return None if row is None else row.value
 
--- a/libs/daemon/src/dandelionlead/daemon/startup.py
+++ b/libs/daemon/src/dandelionlead/daemon/startup.py
@@ -8,8 +8,6 @@
 import eventlet
 
 from dandelionlead import config
-from dandelionlead.daemon import gossip
-from dandelionlead.platform import http
 
 if TYPE_CHECKING:
     import pathlib
@@ -38,16 +36,6 @@
     return cfg
 
 
-def connect_platform(cfg: model.Process) -> gossip.Platform:
-    """Returns clients of the platform's services."""
-    transport = http.Transport(cfg.platform_address)
-    return gossip.Platform(
-        http.HttpTable(transport),
-        http.HttpObjects(transport),
-        http.HttpInstances(transport),
-    )
-
-
 def listen(address: str) -> eventlet.greenio.GreenSocket:
     """Returns a listener on `ip:port`."""
     host, _, port = address.rpartition(":")
--- a/libs/entry/src/dandelionlead/entry/node.py
+++ b/libs/entry/src/dandelionlead/entry/node.py
@@ -41,6 +41,7 @@
     import socket
 
     from dandelionlead.config import model
+    from dandelionlead.platform import api
 
 # Time between a caller's last use of an old address list and its arrival here.
 LEAVE_MARGIN_S = 1.0
@@ -60,7 +61,7 @@
     """
 
     def __init__(
-        self, cfg: model.Process, platform: gossip.Platform, log: events.Log
+        self, cfg: model.Process, platform: api.Platform, log: events.Log
     ) -> None:
         now = clock.boottime()
         self._cfg = cfg
--- a/libs/entry/src/dandelionlead/entry/program.py
+++ b/libs/entry/src/dandelionlead/entry/program.py
@@ -10,6 +10,7 @@
 from dandelionlead.core import events
 from dandelionlead.daemon import startup
 from dandelionlead.entry import node
+from dandelionlead.platform import http
 
 app = cyclopts.App(
     name="dandelion-entry", help="Serves callers of dandelionlead."
@@ -26,7 +27,7 @@
     cfg = startup.load(settings, model.ENTRY)
     events.log_to_stderr()
     log = events.Log(cfg.name)
-    entry = node.Node(cfg, startup.connect_platform(cfg), log)
+    entry = node.Node(cfg, http.connect(cfg.platform_address), log)
     http_listener = startup.listen(cfg.http_address)
     control_listener = startup.listen(cfg.control_address)
     print(
--- a/libs/platform/src/dandelionlead/platform/api.py
+++ b/libs/platform/src/dandelionlead/platform/api.py
@@ -166,3 +166,19 @@
     @abc.abstractmethod
     def fetch(self, name: str) -> int | errors.Failure:
         """Fetches weights and returns their size in bytes."""
+
+
+class Platform:
+    """The services that daemons and commands use, in one place."""
+
+    __slots__ = ("table", "objects", "instances")
+
+    def __init__(
+        self,
+        table: TableService,
+        objects: ObjectStore,
+        instances: InstanceList,
+    ) -> None:
+        self.table = table
+        self.objects = objects
+        self.instances = instances
--- a/libs/platform/src/dandelionlead/platform/http.py
+++ b/libs/platform/src/dandelionlead/platform/http.py
@@ -139,6 +139,14 @@
         self._pool.close()
 
 
+def connect(address: str) -> api.Platform:
+    """Returns clients of the platform's services at `ip:port`."""
+    transport = Transport(address)
+    return api.Platform(
+        HttpTable(transport), HttpObjects(transport), HttpInstances(transport)
+    )
+
+
 class HttpTable(api.TableService):
     """Client of the table service."""
 
