--- a/libs/membership/src/dandelionlead/membership/members.py
+++ b/libs/membership/src/dandelionlead/membership/members.py
@@ -41,6 +41,11 @@
 # States in one message. At 75 bytes a state and 12 messages a second (3
 # exchanges started and 3 answered, both ways) this is 5.4 KB/s of the 17 KB/s.
 MESSAGE_STATES = 6
+# States in one message while many members change, as when a zone is lost:
+# 13.6 KB/s for some seconds.
+BURST_STATES = 14
+# News sent fewer times than this is pending.
+_PENDING_SENDS = 4
 # A change is sent this many times the logarithm of the member count.
 RESEND_FACTOR = 3
 # Every so many rounds one target is a dead member that the platform still
@@ -304,7 +309,7 @@
         return [record.state for record in chosen]
 
     def states_for_message(
-        self, limit: int = MESSAGE_STATES, *, to: str = ""
+        self, limit: int | None = None, *, to: str = ""
     ) -> list[MemberState]:
         """Chooses the states for one message, at most `limit`.
 
@@ -313,9 +318,12 @@
         a walk through the table, which repairs lost news.
 
         Args:
-            limit: Most states in the message.
+            limit: Most states in the message; by default `MESSAGE_STATES`, or
+                `BURST_STATES` while many changes are pending.
             to: Name of the receiver, if known.
         """
+        if limit is None:
+            limit = self.message_limit("")
         chosen = {self._own_name: self._records[self._own_name]}
         receiver = self._records.get(to)
         if receiver is not None and receiver.state.state != LIVE:
@@ -332,12 +340,19 @@
         """
         record = self._records.get(sender)
         if record is None or record.state.role != ROLE_ENTRY_NOT_READY:
-            return MESSAGE_STATES
+            return self._usual_limit()
         if self._synced.get(sender) == record.state.incarnation:
-            return MESSAGE_STATES
+            return self._usual_limit()
         self._synced[sender] = record.state.incarnation
         return max(MESSAGE_STATES, len(self._records))
 
+    def _usual_limit(self) -> int:
+        pending = sum(
+            record.sent < _PENDING_SENDS and record.state.state != LIVE
+            for record in self._records.values()
+        )
+        return BURST_STATES if pending > MESSAGE_STATES else MESSAGE_STATES
+
     def _defend(self, state: MemberState, now: float) -> None:
         own = self._records[self._own_name]
         if not state.supersedes(own.state):
@@ -398,7 +413,7 @@
     def _add_news(self, chosen: dict[str, _Record], limit: int) -> None:
         times = RESEND_FACTOR * math.ceil(math.log2(len(self._records) + 1))
         news = [
-            (record.sent, -record.since, name)
+            (record.sent + (record.state.state == DEAD), -record.since, name)
             for name, record in self._records.items()
             if record.sent < times and record.state.incarnation > 0
         ]
