--- a/libs/routing/tests/test_suspects_fuzz.py
+++ b/libs/routing/tests/test_suspects_fuzz.py
@@ -1,6 +1,6 @@
 """Guards against requests that crash many endpoints, and quarantined innocents.
 
-Copies of two crashing requests come in through three entries under new ids,
+Copies of crashing requests come in through three entries under new ids,
 beside innocent requests; gossip is late. The oracle knows which requests crash
 endpoints, and which news each entry had when it started a copy.
 """
@@ -14,8 +14,8 @@
 from dandelionlead.routing import suspects
 
 ENTRIES = 3
-ENDPOINTS = [f"e{number}" for number in range(8)]
-CRASHING = ("bad0", "bad1")
+ENDPOINTS = [f"e{number}" for number in range(4)]
+CRASHING = ("bad0", "bad1", "bad2")
 INNOCENT = tuple(f"good{number}" for number in range(6))
 SETTLE_S = 8.0
 # News is everywhere after this time, which is below the settling time.
@@ -24,9 +24,10 @@
 
 
 class Run:
-    def __init__(self, entry, name, alone, excused):
-        self.entry, self.name = entry, name
-        self.alone, self.excused = alone, excused
+    def __init__(self, entry, name, alone, heard):
+        self.entry, self.name, self.alone = entry, name, alone
+        # Pairs of crash and name that the entry knew when it started this.
+        self.heard = set(heard)
 
 
 class SuspectsMachine(stateful.RuleBasedStateMachine):
@@ -46,14 +47,20 @@
 
     @stateful.rule(
         entry=st.integers(0, ENTRIES - 1),
-        name=st.sampled_from((*CRASHING * 3, *INNOCENT)),
-        data=st.data(),
+        names=st.lists(
+            st.sampled_from((*CRASHING, *INNOCENT)), min_size=1, max_size=6
+        ),
+        first=st.sampled_from(ENDPOINTS),
     )
-    def send(self, entry, name, data):
+    def send(self, entry, names, first):
+        for name in names:
+            self.place(entry, name, first)
+
+    def place(self, entry, name, first):
         registry = self.registries[entry]
         verdict = registry.verdict(name, self.now)
         if verdict is suspects.Verdict.FREE:
-            order = data.draw(st.permutations(ENDPOINTS[:3]))
+            order = [first]
         else:
             order = registry.rank(name, ENDPOINTS)
         for endpoint in order:
@@ -65,9 +72,7 @@
                 name, own, self.now, others=others
             ):
                 alone = verdict is suspects.Verdict.ALONE
-                known = set(self.crashes.get(name, ()))
-                excused = not known or not known <= self.heard[entry]
-                runs.append(Run(entry, name, alone, excused))
+                runs.append(Run(entry, name, alone, self.heard[entry]))
                 return
 
     @stateful.rule(data=st.data())
@@ -101,17 +106,17 @@
             names = {run.name for run in runs if run.entry == entry}
             if names:
                 registry.crashed(incarnation, names, self.now)
-                self.heard[entry].add(incarnation)
+                self.heard[entry] |= {(incarnation, name) for name in names}
         for name in CRASHING:
             copies = [run for run in runs if run.name == name]
             if not copies:
                 continue
-            first = not self.crashes[name]
-            self.crashes[name].append(incarnation)
-            # One copy without the news suffices to excuse the loss, but the
-            # very first loss counts.
-            if first or not any(run.excused for run in copies):
+            # A copy that was started without news of an earlier crash, or ran
+            # when it happened, excuses the loss.
+            earlier = set(self.crashes[name])
+            if all(earlier <= run.heard for run in copies):
                 self.losses[name] += 1
+            self.crashes[name].append((incarnation, name))
             assert self.losses[name] <= INFORMED_LOSSES_LIMIT, "too many lost"
 
     @stateful.rule(
@@ -181,9 +186,7 @@
         registry = self.registries[0]
         endpoint = registry.rank(name, ENDPOINTS)[0]
         if registry.may_run(name, (), self.now):
-            known = set(self.crashes[name])
-            excused = bool(known) and not known <= self.heard[0]
-            self.runs[endpoint] = [Run(0, name, True, excused)]
+            self.runs[endpoint] = [Run(0, name, True, self.heard[0])]
             self.crash_endpoint(endpoint)
 
 
