--- a/libs/entry/src/dandelionlead/entry/node.py
+++ b/libs/entry/src/dandelionlead/entry/node.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import json
-import signal
 from collections.abc import Callable
 from typing import Any
 from typing import TYPE_CHECKING
 
 import eventlet
-from eventlet import event
 
 from dandelionlead.admission import parts
 from dandelionlead.core import clock
@@ -17,7 +15,9 @@
 from dandelionlead.core import events
 from dandelionlead.core import metrics
 from dandelionlead.daemon import gossip
+from dandelionlead.daemon import loops
 from dandelionlead.daemon import peer_handler
+from dandelionlead.daemon import rollouts
 from dandelionlead.daemon import rules
 from dandelionlead.entry import app
 from dandelionlead.entry import capacity
@@ -45,10 +45,11 @@
 
 # Time between a caller's last use of an old address list and its arrival here.
 LEAVE_MARGIN_S = 1.0
+# Between two looks at the evidence on new versions.
+LOOK_PERIOD_S = 1.0
 _DRAIN_POLL_S = 0.1
 # Streams that are handed over end with their next events.
 _HAND_OVER_S = 3.0
-_LOOP_RESTART_S = 1.0
 
 
 class Node:
@@ -100,15 +101,17 @@
             self._capacity.saw_incarnation,
         )
         self._placement = placement.Placement(self._capacity)
+        self._rollouts = rollouts.Rollouts(cfg.name, incarnation, log)
         self._view = routing_view.RoutingView(
             cfg.availability_zone,
             self._current,
             self._capacity,
             self._engines,
+            self._rollouts,
             log,
         )
-        self._gossip.extensions.append(self._view)
-        self._outcomes = outcomes.Outcomes(self._metrics)
+        self._gossip.extensions += [self._view, self._rollouts]
+        self._outcomes = outcomes.Outcomes(self._metrics, self._rollouts)
         signer = tokens.Signer(cfg.resume_keys)
         self._generations = generation.Generations(
             self._engines,
@@ -160,21 +163,20 @@
             self.dump,
         )
         self._leaving = False
-        self._stop = event.Event()
+        self._stop = loops.StopSignal()
         self._http_thread: Any = None
 
     def serve(
         self, http_listener: socket.socket, control_listener: socket.socket
     ) -> None:
         """Serves until SIGTERM or SIGINT, then drains and returns."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._on_signal)
+        self._stop.install()
         peer_server = server.Server(
             control_listener, self._cfg.peer_key, self._handler, self._log
         )
         eventlet.spawn_n(peer_server.serve)
         for name, loop in self._loops().items():
-            eventlet.spawn_n(self._forever, name, loop)
+            eventlet.spawn_n(loops.forever, name, loop, self._log)
         http_pool = eventlet.GreenPool(http_server.MAX_CONNECTIONS)
         self._http_thread = eventlet.spawn(
             http_server.serve, http_listener, self._app, http_pool
@@ -219,6 +221,7 @@
             "owned_endpoints": self._owners.dump(),
             "capacity": self._capacity.dump(),
             "routing": self._view.dump(),
+            "rollouts": self._rollouts.dump(),
             "outcomes": self._outcomes.dump(),
             "requests": {
                 "in_flight": self._app.in_flight,
@@ -241,23 +244,20 @@
             ),
             "pump": self._placement.pump_forever,
             "ready": self._watch_ready,
+            "judge": self._judge_versions,
         }
 
-    def _forever(self, name: str, loop: Callable[[], None]) -> None:
-        while True:
-            try:
-                loop()
-            except Exception as exc:
-                # One bad message must not end a duty of this process.
-                self._log.event("loop_failed", loop=name, reason=repr(exc))
-                eventlet.sleep(_LOOP_RESTART_S)
-
     def _watch_ready(self) -> None:
         while True:
             ready = self._ready_failure() is None
             self._table.set_ready(ready, clock.boottime())
             eventlet.sleep(0.2)
 
+    def _judge_versions(self) -> None:
+        while True:
+            self._rollouts.look()
+            eventlet.sleep(LOOK_PERIOD_S)
+
     def _drain(self, http_listener: socket.socket) -> None:
         """Leaves without cutting a request.
 
@@ -290,15 +290,13 @@
     def _busy(self) -> bool:
         return bool(self._app.in_flight or self._orders.pending_repairs())
 
-    def _on_signal(self, *_: object) -> None:
-        if not self._stop.ready():
-            eventlet.spawn_n(self._stop.send, None)
-
     def _current(self) -> rules.Rules | None:
         return self._keeper.current
 
     def _rules_changed(self) -> None:
         operators = self._keeper.current.operators
+        self._rollouts.configure(operators)
+        self._gossip.watched = self._rollouts.watched()
         self._view.configure(operators)
         self._placement.configure(operators)
         self._placement.pump()
--- a/libs/entry/src/dandelionlead/entry/routing_view.py
+++ b/libs/entry/src/dandelionlead/entry/routing_view.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from dandelionlead.core import events
+    from dandelionlead.daemon import rollouts
     from dandelionlead.daemon import rules
     from dandelionlead.entry import capacity
     from dandelionlead.entry import engine_client
@@ -41,15 +42,6 @@
 )
 
 
-class Shares:
-    """Versions and their shares while rollouts are under way."""
-
-    def version_for(self, model_name: str, request_id: str) -> str:
-        """Returns the version for a request; empty if any will do."""
-        del model_name, request_id
-        return ""
-
-
 class RoutingView(gossip.Extension):
     """Candidates, retries, health and crash evidence of this entry.
 
@@ -58,6 +50,7 @@
         current: Returns the rules in force.
         source: Units of this entry.
         engines: Asks endpoints whether they still run.
+        moves: Rollouts that are under way.
         log: Event log.
     """
 
@@ -67,14 +60,15 @@
         current: Callable[[], rules.Rules | None],
         source: capacity.Capacity,
         engines: engine_client.EngineClient,
+        moves: rollouts.Rollouts,
         log: events.Log,
     ) -> None:
-        self.shares = Shares()
         self.suspects = suspects.SuspectRegistry()
         self._zone = availability_zone
         self._current = current
         self._capacity = source
         self._engines = engines
+        self._rollouts = moves
         self._log = log
         self._rng = random.Random()
         self._policy: choice.EndpointPolicy = choice.Scored()
@@ -114,18 +108,16 @@
         verdict = self.suspects.verdict(call.fingerprint, clock.boottime())
         if verdict is not suspects.Verdict.FREE:
             return self._for_suspect(call.fingerprint, found)
-        wanted = choice.Request(
-            call.request_id,
-            1,
-            availability_zone=self._zone,
-            version=self.shares.version_for(call.wanted.model, call.request_id),
-        )
         seen = self._seen(call, found)
-        ranked = self._ranked(wanted, seen)
-        if not ranked and wanted.version:
-            # Rather another version than no answer.
-            wanted.version = ""
-            ranked = self._ranked(wanted, seen)
+        ranked: list[str] = []
+        for version in self._versions(call):
+            wanted = choice.Request(
+                call.request_id,
+                1,
+                availability_zone=self._zone,
+                version=version,
+            )
+            ranked += self._ranked(wanted, seen)
         return [
             found[name]
             for name in ranked
@@ -291,6 +283,15 @@
             ],
         }
 
+    def _versions(self, call: generation.Call) -> list[str]:
+        item = self._current().operators.models[call.wanted.model]
+        return self._rollouts.versions(
+            item,
+            lambda share: choice.version_for(
+                call.request_id, item.current, item.next, share
+            ),
+        )
+
     def _seen(
         self, call: generation.Call, found: dict[str, model.Endpoint]
     ) -> list[choice.Candidate]:
