Let requests for the next version wait for units there

Change: a request waits up to 0.5 s for units of its version before it falls back; a retry avoids the endpoints that failed, while there are others. Ruled out: asking for the best endpoint besides taking units elsewhere (at one request a second the grant expires before the next one).

--- a/libs/entry/src/dandelionlead/entry/app.py
+++ b/libs/entry/src/dandelionlead/entry/app.py
@@ -273,6 +273,7 @@
             path=req.path,
             wanted=wanted,
             body=body,
+            arrived_at=req.arrived_at,
             deadline=req.arrived_at + route.timeout_s,
             fingerprint=fingerprint,
         )
--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -51,8 +51,10 @@
         path: HTTP path, which is the engine's as well.
         wanted: The checked fields of the body.
         body: The body for the engine; always asks for a stream.
-        deadline: Time on `clock.boottime()` by which it must be dispatched.
+        arrived_at: Time on `clock.boottime()`.
+        deadline: Time on the same clock by which it must be dispatched.
         fingerprint: Identity of model and prompt.
+        tried: Endpoints on which it has failed.
     """
 
     __slots__ = (
@@ -62,8 +64,10 @@
         "path",
         "wanted",
         "body",
+        "arrived_at",
         "deadline",
         "fingerprint",
+        "tried",
     )
 
     def __init__(
@@ -75,6 +79,7 @@
         path: str,
         wanted: generation_input.GenerationInput,
         body: dict[str, Any],
+        arrived_at: float,
         deadline: float,
         fingerprint: str,
     ) -> None:
@@ -84,8 +89,10 @@
         self.path = path
         self.wanted = wanted
         self.body = json.dumps({**body, "stream": True}).encode()
+        self.arrived_at = arrived_at
         self.deadline = deadline
         self.fingerprint = fingerprint
+        self.tried: set[str] = set()
 
 
 class Stream:
@@ -458,6 +465,7 @@
     def _failed(self, failure: errors.Failure, *, nothing_ran: bool) -> None:
         owner, call = self._owner, self._call
         name = self._endpoint.name
+        call.tried.add(name)
         owner._capacity.note_failed(name)
         owner._results.failed(call, self._endpoint, self._version, failure)
         incarnation = self._placed.lease.incarnation
--- a/libs/entry/src/dandelionlead/entry/routing_view.py
+++ b/libs/entry/src/dandelionlead/entry/routing_view.py
@@ -30,6 +30,10 @@
 # Evidence on crashes in one gossip message: at 130 bytes an item this is 4 KB,
 # and only after crashes.
 MESSAGE_SUSPECTS = 32
+# A request for the next version waits this long for units there before it goes
+# to the old one. Without the wait, requests of a small share never found units
+# (grants expire unused between them), and the version got no requests at all.
+FALLBACK_S = 0.5
 # A request that failed this long before a crash was seen may have caused it.
 _FAILED_BEFORE_S = 3.0
 # Failures that may come from the death of the endpoint.
@@ -109,15 +113,9 @@
         if verdict is not suspects.Verdict.FREE:
             return self._for_suspect(call.fingerprint, found)
         seen = self._seen(call, found)
-        ranked: list[str] = []
-        for version in self._versions(call):
-            wanted = choice.Request(
-                call.request_id,
-                1,
-                availability_zone=self._zone,
-                version=version,
-            )
-            ranked += self._ranked(wanted, seen)
+        ranked = self._for_versions(call, seen, frozenset(call.tried))
+        if not ranked and call.tried:
+            ranked = self._for_versions(call, seen, frozenset())
         return [
             found[name]
             for name in ranked
@@ -283,6 +281,26 @@
             ],
         }
 
+    def _for_versions(
+        self,
+        call: generation.Call,
+        seen: list[choice.Candidate],
+        exclude: frozenset[str],
+    ) -> list[str]:
+        ranked: list[str] = []
+        for version in self._versions(call):
+            wanted = choice.Request(
+                call.request_id,
+                1,
+                availability_zone=self._zone,
+                version=version,
+                exclude=exclude,
+            )
+            ranked += self._ranked(wanted, seen)
+            if ranked and clock.boottime() < call.arrived_at + FALLBACK_S:
+                break
+        return ranked
+
     def _versions(self, call: generation.Call) -> list[str]:
         item = self._current().operators.models[call.wanted.model]
         return self._rollouts.versions(
