Resume streams at another entry; test handover on an open connection

Cause: a resume could pick the entry that had just failed, and the handover case passed on the end of the connection alone. Change: the last entry is avoided; a test holds the connection open; a faulty repair no longer ends its worker. Ruled out: avoiding all entries tried so far, since an earlier one may be back.

--- a/libs/client/src/dandelionlead/client/client.py
+++ b/libs/client/src/dandelionlead/client/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import random
 import time
@@ -136,6 +137,7 @@
         It is started again only while it has certainly not run; from then on
         it is resumed, never started again.
         """
+        tried: list[str] = []
         found = self._tries(
             "POST",
             path,
@@ -144,6 +146,7 @@
             deadline_s,
             repeatable=False,
             streamed=True,
+            tried=tried,
         )
         if isinstance(found, answers.Failure):
             return found
@@ -155,7 +158,10 @@
                 status=found.status,
             )
         return streams.Stream(
-            found, self._resume, clock=self._clock, sleep=self._sleep
+            found,
+            functools.partial(self._resume, tried),
+            clock=self._clock,
+            sleep=self._sleep,
         )
 
     def _tries(
@@ -169,10 +175,11 @@
         repeatable: bool,
         numbered: bool = False,
         streamed: bool = False,
+        tried: list[str] | None = None,
     ) -> answers.Answer | answers.Failure | urllib3.BaseHTTPResponse:
         ends_at = self._clock() + deadline_s
         data, sent = _encode(body, headers)
-        tried: list[str] = []
+        tried = [] if tried is None else tried
         number = 0
         # An entry that refuses a later try as `not_run` may speak of this try
         # only, so an earlier one that may have run stays in doubt.
@@ -257,9 +264,11 @@
         return b"".join(parts)
 
     def _resume(
-        self, headers: dict[str, str]
+        self, tried: list[str], headers: dict[str, str]
     ) -> urllib3.BaseHTTPResponse | answers.Failure:
-        address = self.addresses.pick()
+        # Only the last entry is avoided: an earlier one may be back.
+        address = self.addresses.pick(tried[-1:])
+        tried[:] = [address]
         found = self._send(
             "GET", address, "/v1/streams", None, headers, self._read_s, True
         )
--- a/libs/client/tests/test_client.py
+++ b/libs/client/tests/test_client.py
@@ -8,6 +8,7 @@
 import random
 import socketserver
 import threading
+import time
 import unittest
 from wsgiref import simple_server
 
@@ -259,6 +260,19 @@
         self.assertEqual(request["PATH_INFO"], "/v1/streams")
         self.assertEqual(request["HTTP_LAST_EVENT_ID"], "g:2")
         self.assertEqual(request["HTTP_X_RESUME_TOKEN"], "tok")
+        hosts = self.entries.sent("host")
+        self.assertNotEqual(hosts[0], hosts[1])
+
+    def test_handover_does_not_wait_for_the_end_of_the_connection(self):
+        hang = threading.Event()
+        self.addCleanup(hang.set)
+        handover = events(1, 3) + "event: handover\ndata: {}\n\n"
+        begin = time.monotonic()
+        found, _ = self.read(
+            stream(handover, wait=hang), stream(events(3, 6) + END)
+        )
+        self.assertTrue(found.complete)
+        self.assertLess(time.monotonic() - begin, 2.0)
 
     def test_ends_that_are_failures(self):
         lost = "event: error\ndata: " + json.dumps(
--- a/libs/orders/src/dandelionlead/orders/runner.py
+++ b/libs/orders/src/dandelionlead/orders/runner.py
@@ -264,6 +264,10 @@
             except StopIteration as end:
                 ended(bool(end.value))
                 return None
+            except Exception:
+                # One faulty record must not end the worker of all others.
+                ended(False)
+                return None
             if isinstance(step, steps.Sleep):
                 return step.seconds
             outcome = self._runner.perform(step)
--- a/libs/routing/src/dandelionlead/routing/health.py
+++ b/libs/routing/src/dandelionlead/routing/health.py
@@ -11,7 +11,7 @@
 OUTLIER_SHARE = 0.5
 OUTLIER_FACTOR = 3.0
 # More endpoints than this fail only from a cause that they have in common;
-# ejecting them would overload the rest.
+# ejecting them would overload the rest. Of fewer than three, none is ejected.
 EJECTED_SHARE_LIMIT = 0.34
 EJECT_FIRST_S = 1.0
 EJECT_LONGEST_S = 30.0
