--- a/libs/daemon/src/dandelionlead/daemon/gossip.py
+++ b/libs/daemon/src/dandelionlead/daemon/gossip.py
@@ -28,8 +28,11 @@
 EXCHANGES = 3
 POLL_PERIOD_S = 1.0
 LIST_PERIOD_S = 2.0
-# A part of the configuration is asked for from this many peers at once.
+# A part of the configuration is asked for from this many peers in turn.
 _PART_PEERS = 2
+# Silent peers must leave time for the store: a head that is known and not
+# complete for 3 s stops this entry.
+_PART_PEERS_S = 1.0
 HEAD_KEY = api.Key(config_head.TABLE, config_head.KEY)
 VERSION_KEY = api.Key(config_head.TABLE, config_head.VERSION_KEY)
 
@@ -284,10 +287,11 @@
             self._changed()
 
     def _fetch_from_peers(self) -> None:
+        ends_at = clock.boottime() + _PART_PEERS_S
         peers = self._table.gossip_targets(self._rng, _PART_PEERS)
         for peer in peers:
             missing = self._keeper.missing()
-            if not missing:
+            if not missing or clock.boottime() >= ends_at:
                 return
             found = self._call(peer.control_address, "get_parts", missing)
             if not isinstance(found, errors.Failure):
--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -51,9 +51,10 @@
         path: HTTP path, which is the engine's as well.
         wanted: The checked fields of the body.
         body: The body for the engine; always asks for a stream.
-        deadline: Time on `clock.boottime()` by which it must be dispatched.
+        arrived_at: Time on `clock.boottime()`.
+        deadline: Time on the same clock by which it must be dispatched.
         fingerprint: Identity of model and prompt.
-        failed_at: Names of the endpoints where an attempt failed.
+        tried: Endpoints on which it has failed.
     """
 
     __slots__ = (
@@ -63,9 +64,10 @@
         "path",
         "wanted",
         "body",
+        "arrived_at",
         "deadline",
         "fingerprint",
-        "failed_at",
+        "tried",
     )
 
     def __init__(
@@ -77,6 +79,7 @@
         path: str,
         wanted: generation_input.GenerationInput,
         body: dict[str, Any],
+        arrived_at: float,
         deadline: float,
         fingerprint: str,
     ) -> None:
@@ -86,9 +89,10 @@
         self.path = path
         self.wanted = wanted
         self.body = json.dumps({**body, "stream": True}).encode()
+        self.arrived_at = arrived_at
         self.deadline = deadline
         self.fingerprint = fingerprint
-        self.failed_at: set[str] = set()
+        self.tried: set[str] = set()
 
 
 class Stream:
@@ -248,7 +252,7 @@
             call.request_id,
             call.wanted.model,
             work,
-            lambda: _untried(self._view.candidates(call), call.failed_at),
+            lambda: self._view.candidates(call),
             alone=self._view.runs_alone(call.fingerprint),
         )
         queued_at = clock.boottime()
@@ -461,7 +465,7 @@
     def _failed(self, failure: errors.Failure, *, nothing_ran: bool) -> None:
         owner, call = self._owner, self._call
         name = self._endpoint.name
-        call.failed_at.add(name)
+        call.tried.add(name)
         owner._capacity.note_failed(name)
         owner._results.failed(call, self._endpoint, self._version, failure)
         incarnation = self._placed.lease.incarnation
@@ -552,17 +556,6 @@
     }
 
 
-def _untried(
-    found: list[model.Endpoint], failed_at: set[str]
-) -> list[model.Endpoint]:
-    """Returns the endpoints where no attempt failed; all if there are none.
-
-    A retry at a dead endpoint would use up the budget before it is ejected.
-    """
-    untried = [item for item in found if item.name not in failed_at]
-    return untried or found
-
-
 def _never_ran(failure: errors.Failure) -> bool:
     return failure.kind in (
         errors.Kind.ENDPOINT_UNREACHABLE,
