--- a/libs/daemon/src/dandelionlead/daemon/gossip.py
+++ b/libs/daemon/src/dandelionlead/daemon/gossip.py
@@ -28,6 +28,8 @@
 EXCHANGES = 3
 POLL_PERIOD_S = 1.0
 LIST_PERIOD_S = 2.0
+# Exchanges at one time when all members are told something at once.
+_TELL_AT_ONCE = 64
 # A part of the configuration is asked for from this many peers in turn.
 _PART_PEERS = 2
 # Silent peers must leave time for the store: a head that is known and not
@@ -118,6 +120,18 @@
                 eventlet.spawn_n(self._exchange, target)
             eventlet.sleep(EXCHANGE_PERIOD_S)
 
+    def tell_all(self) -> None:
+        """Exchanges with all live members now; waits at most a call's time.
+
+        Random exchanges take several seconds to reach all of 400 members.
+        """
+        pool = eventlet.GreenPool(_TELL_AT_ONCE)
+        for target in self._table.live(clock.boottime()):
+            if target.name != self._own_name:
+                pool.spawn_n(self._exchange, target)
+        with eventlet.Timeout(members.EXCHANGE_DEADLINE_S, False):
+            pool.waitall()
+
     def poll_head(self) -> None:
         """Reads the version row, the other watched rows, and a new head."""
         sent_at = clock.boottime()
--- a/libs/entry/src/dandelionlead/entry/node.py
+++ b/libs/entry/src/dandelionlead/entry/node.py
@@ -267,6 +267,8 @@
         self._leaving = True
         self._table.leave(clock.boottime())
         self._log.event("leaving", reason="signal")
+        # A list that a peer gives out before it knows counts from then on.
+        self._gossip.tell_all()
         eventlet.sleep(self._cfg.address_max_age_s + LEAVE_MARGIN_S)
         # The server closes idle connections when its thread ends; open ones
         # are served to their end.
