Give client and entry one address list, one header for tries of an order

Cause: the callers' library read addresses as plain text and numbered tries in X-Order-Try; the entry gave objects and read X-Try-Number. test_http's idle connection test raced: the second call could be sent before the end of the connection arrived, which is rightly an unknown outcome; it failed once in a full run. Change: objects and X-Order-Try everywhere; that test now waits until the server has hung up, its assertions are the same.

--- a/libs/client/src/dandelionlead/client/addresses.py
+++ b/libs/client/src/dandelionlead/client/addresses.py
@@ -83,10 +83,14 @@
         return None
     if not isinstance(found, dict):
         return None
-    addresses = found.get("addresses")
-    if not isinstance(addresses, list):
+    entries = found.get("addresses")
+    if not isinstance(entries, list):
         return None
-    addresses = [item for item in addresses if isinstance(item, str) and item]
+    addresses = [
+        item["address"]
+        for item in entries
+        if isinstance(item, dict) and isinstance(item.get("address"), str)
+    ]
     max_age_s = found.get("max_age_s", DEFAULT_MAX_AGE_S)
     if not addresses or not isinstance(max_age_s, int | float):
         return None
--- a/libs/client/tests/test_client.py
+++ b/libs/client/tests/test_client.py
@@ -54,7 +54,8 @@
 
     def app(self, environ, start):
         if environ["PATH_INFO"] == "/v1/addresses":
-            found = {"addresses": self.addresses, "max_age_s": self.max_age_s}
+            entries = [{"address": item} for item in self.addresses]
+            found = {"addresses": entries, "max_age_s": self.max_age_s}
             start("200 OK", [("Content-Type", "application/json")])
             return [json.dumps(found).encode()]
         size = int(environ.get("CONTENT_LENGTH") or 0)
--- a/libs/entry/src/dandelionlead/entry/http_input.py
+++ b/libs/entry/src/dandelionlead/entry/http_input.py
@@ -102,13 +102,13 @@
 
 def try_number(environ: dict[str, Any]) -> int | errors.Failure:
     """Returns the number of the caller's try of its key; 0 if not given."""
-    value = environ.get("HTTP_X_TRY_NUMBER", "")
+    value = environ.get("HTTP_X_ORDER_TRY", "")
     if not value:
         return 0
     if not re.fullmatch(r"[1-9]\d{0,8}", value):
         return errors.Failure(
             errors.Kind.BAD_HEADER,
-            "X-Try-Number must be a whole number of at least 1",
+            "X-Order-Try must be a whole number of at least 1",
         )
     return int(value)
 
--- a/libs/platform/tests/test_http.py
+++ b/libs/platform/tests/test_http.py
@@ -116,14 +116,18 @@
 
     def test_connection_lost_while_idle_is_not_used_again(self):
         close = _answer(200, {"versions": [1]})
+        hung_up = threading.Event()
 
         def answer_and_hang_up(conn):
             close(conn)
             conn.shutdown(socket.SHUT_RDWR)
+            hung_up.set()
 
         with _serving(answer_and_hang_up, close) as (server, transport):
             table = http.HttpTable(transport)
             self.assertIsInstance(table.transact(_OPS), api.Committed)
+            # A call sent before the end of the connection arrives is lost.
+            self.assertTrue(hung_up.wait(5))
             self.assertIsInstance(table.transact(_OPS), api.Committed)
             self.assertEqual(len(server.received), 2)
 
