--- a/libs/rollout/src/dandelionlead/rollout/evidence.py
+++ b/libs/rollout/src/dandelionlead/rollout/evidence.py
@@ -137,7 +137,10 @@
         self._member = member
         self._incarnation = incarnation
         self._samples: dict[Source, Sample] = {}
+        # Sources that changed since they were sent, and when each was sent.
+        self._changed: set[Source] = set()
         self._sent: dict[Source, int] = {}
+        self._messages = 0
 
     def record(
         self,
@@ -155,7 +158,7 @@
         sample.record(
             failed=failed, first_token_s=first_token_s, token_gap_s=token_gap_s
         )
-        self._sent[source] = 0
+        self._changed.add(source)
 
     def merge(self, items: Iterable[tuple[Source, Sample]]) -> None:
         """Merges counters from a message by maximum."""
@@ -167,15 +170,27 @@
                 continue
             known = self._samples.setdefault(source, Sample())
             if sample.requests > known.requests:
-                self._sent[source] = 0
+                self._changed.add(source)
             known.raise_to(sample)
 
     def for_message(self, limit: int) -> list[tuple[Source, Sample]]:
-        """Returns at most `limit` sets of counters, least sent first."""
-        order = sorted(self._samples, key=lambda item: self._sent.get(item, 0))
-        for source in order[:limit]:
-            self._sent[source] = self._sent.get(source, 0) + 1
-        return [(source, self._samples[source]) for source in order[:limit]]
+        """Returns at most `limit` sets of counters.
+
+        Those that changed go first, then those not sent for longest, so that
+        busy counters do not keep back those of other members.
+        """
+        self._messages += 1
+        order = sorted(
+            self._samples,
+            key=lambda item: (
+                item not in self._changed,
+                self._sent.get(item, 0),
+            ),
+        )[:limit]
+        for source in order:
+            self._sent[source] = self._messages
+            self._changed.discard(source)
+        return [(source, self._samples[source]) for source in order]
 
     def routes(self, model: str) -> list[str]:
         """Returns the routes on which the model had requests."""
@@ -198,6 +213,7 @@
         for source in [s for s in self._samples if s.model == model]:
             del self._samples[source]
             self._sent.pop(source, None)
+            self._changed.discard(source)
 
 
 def _padded(counts: Sequence[int]) -> list[int]:
--- a/libs/rollout/src/dandelionlead/rollout/judge.py
+++ b/libs/rollout/src/dandelionlead/rollout/judge.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import abc
+import collections
 import enum
 import math
 from typing import TYPE_CHECKING
@@ -22,21 +23,37 @@
 # A bad version may be called good in at most this part; the share then rises,
 # and the test goes on.
 FALSE_PASS = 0.05
-# Tests that share FALSE_ALARM on one route: failures, first token, token gap.
-TESTS = 3
+# Tests that share FALSE_ALARM on one route: failures against the old version
+# at the same time, failures against its rate so far, first token, token gap.
+TESTS = 4
 
 # Rates of failure that are called bad: so many times the old one, or so much
 # more than the old one, whichever is higher.
 BAD_RATIO = 2.0
-BAD_DIFFERENCE = 0.01
+BAD_DIFFERENCE = 0.02
 # A version counts as no worse up to this ratio of failure rates.
 _TOLERATED_RATIO = 1.25
 _RATIOS = (2.0, 4.0, 16.0, 64.0)
 # When an endpoint dies, its requests fail together. Only so many failures of
-# one look count, beyond a multiple of what the old version leads to expect.
+# one look count: two, a part of its requests, and a multiple of what the old
+# version leads to expect.
 _FAILURES_A_LOOK = 2
+_FAILURES_A_REQUEST = 0.08
 _EXPECTED_TIMES = 3
 
+# While the old version gets little traffic, its failures at the same time say
+# little. The next version is then compared with a rate that a good one stays
+# under: twice the old rate so far and 1%, or twice the old rate of late.
+_RATE_TIMES = 2.0
+_RATE_MORE = 0.01
+_RATE_RATIOS = (3.0, 8.0)
+_MOST_RATE = 0.9
+_RECENT_LOOKS = 5
+# A test begins anew every so many looks, so that a good past does not hide a
+# version that fails later. All but the first and the latest are dropped.
+_RESTART_LOOKS = 5
+_KEPT_RESTARTS = 8
+
 # Slower by one bucket (15%) is tolerated; a good version is shown to be
 # slower by less than two to three buckets (32% to 52%).
 _TOLERATED_BUCKETS = 1
@@ -81,10 +98,12 @@
 class SequentialJudge(Judge):
     """Sequential tests that may be looked at after every second.
 
-    Failures: a mixture of likelihood ratios over how the failures of a look
-    fall on the two versions. It is a supermartingale while the next version
-    fails no more than tolerated, so it ever exceeds 1/a with probability at
-    most a (Ville), however often one looks.
+    Failures: mixtures of likelihood ratios over how the failures of a look
+    fall on the two versions, and over their rate. Each is a supermartingale
+    while the next version fails no more than tolerated, so it ever exceeds
+    1/a with probability at most a (Ville), however often one looks. Where the
+    old rate is estimated this holds approximately; tools/bench_rollout.py
+    measures it.
 
     Latency: the rank sum of each look (Mann-Whitney), summed over looks, with
     the normal mixture bound (Robbins), and widened by the dispersion between
@@ -111,14 +130,21 @@
         self._first_token = _RankTest("first token", level, false_pass)
         self._token_gap = _RankTest("token gap", level, false_pass)
         self._bad: Judgement | None = None
+        self._new = evidence.Sample()
+        self._old = evidence.Sample()
 
     def look(self, new: evidence.Sample, old: evidence.Sample) -> Judgement:
         """Takes in what was counted since the last look."""
         if self._bad is not None:
             return self._bad
-        self._failures.look(new, old)
-        self._first_token.look(new.first_token, old.first_token)
-        self._token_gap.look(new.token_gap, old.token_gap)
+        self._new.add(new)
+        self._old.add(old)
+        # With little traffic a look often holds one version only; it is then
+        # weighed together with the next looks, up to the first with both.
+        if self._new.requests and self._old.requests:
+            self._weigh(self._new, self._old)
+            self._new = evidence.Sample()
+            self._old = evidence.Sample()
         tests = (self._failures, self._first_token, self._token_gap)
         for test in tests:
             if test.bad():
@@ -128,6 +154,11 @@
             return Judgement(Finding.GOOD, "no test finds it worse")
         return Judgement(Finding.UNDECIDED, "the evidence is thin")
 
+    def _weigh(self, new: evidence.Sample, old: evidence.Sample) -> None:
+        self._failures.look(new, old)
+        self._first_token.look(new.first_token, old.first_token)
+        self._token_gap.look(new.token_gap, old.token_gap)
+
 
 class ThresholdJudge(Judge):
     """Baseline: a fixed failure rate or slowdown after a few requests."""
@@ -208,17 +239,25 @@
     def __init__(self, level: float, false_pass: float) -> None:
         self._limit = -math.log(level)
         self._pass_limit = -math.log(false_pass)
-        self._logs = [0.0 for _ in _RATIOS]
-        self._highest = 0.0
+        self._beside = _Mixture(len(_RATIOS))
+        self._rate = _Mixture(len(_RATE_RATIOS))
         self._good_log = 0.0
         self._new = [0, 0]
         self._old = [0, 0]
+        self._recent: collections.deque[evidence.Sample] = collections.deque(
+            maxlen=_RECENT_LOOKS
+        )
 
     def look(self, new: evidence.Sample, old: evidence.Sample) -> None:
-        """Weighs the failures of one look and the successes."""
-        if new.requests and old.requests:
-            self._weigh_failures(new, old)
-        self._weigh_good(new)
+        """Weighs one look with requests of both versions."""
+        expected = old.failures * new.requests / old.requests
+        cap = _FAILURES_A_LOOK + _EXPECTED_TIMES * expected
+        cap += _FAILURES_A_REQUEST * new.requests
+        counted = min(new.failures, int(cap))
+        self._recent.append(old)
+        self._weigh_beside(new, old, counted)
+        self._weigh_rate(new, counted)
+        self._weigh_good(new, counted)
         self._new[0] += new.requests
         self._new[1] += new.failures
         self._old[0] += old.requests
@@ -226,7 +265,7 @@
 
     def bad(self) -> bool:
         """Whether the next version fails more than tolerated."""
-        return self._highest >= self._limit
+        return max(self._beside.highest, self._rate.highest) >= self._limit
 
     def good(self) -> bool:
         """Whether it is shown to fail less than a bad version."""
@@ -239,33 +278,87 @@
             f"{self._old[1]} of {self._old[0]} with the old version"
         )
 
-    def _weigh_failures(
-        self, new: evidence.Sample, old: evidence.Sample
+    def _weigh_beside(
+        self, new: evidence.Sample, old: evidence.Sample, here: int
     ) -> None:
-        expected = old.failures * new.requests / old.requests
-        cap = _FAILURES_A_LOOK + _EXPECTED_TIMES * expected
-        here = min(new.failures, int(cap))
+        """Weighs how the failures fall on the two versions."""
         there = old.failures
         null = _part(_TOLERATED_RATIO, new.requests, old.requests)
-        for index, ratio in enumerate(_RATIOS):
-            alternative = _part(ratio, new.requests, old.requests)
-            self._logs[index] += here * math.log(alternative / null)
-            self._logs[index] += there * math.log(
-                (1 - alternative) / (1 - null)
+        parts = [_part(r, new.requests, old.requests) for r in _RATIOS]
+        self._beside.add(
+            [
+                here * math.log(part / null)
+                + there * math.log((1 - part) / (1 - null))
+                for part in parts
+            ]
+        )
+
+    def _weigh_rate(self, new: evidence.Sample, failures: int) -> None:
+        """Weighs the failures against the highest rate of a good version."""
+        recent = 1 + sum(item.failures for item in self._recent)
+        among = 1 + sum(item.requests for item in self._recent)
+        null = max(
+            _RATE_TIMES * self._old_rate() + _RATE_MORE,
+            _RATE_TIMES * recent / among,
+        )
+        null = min(null, _MOST_RATE / 2)
+        succeeded = new.requests - new.failures
+        logs = []
+        for ratio in _RATE_RATIOS:
+            rate = min(ratio * null, _MOST_RATE)
+            logs.append(
+                failures * math.log(rate / null)
+                + succeeded * math.log((1 - rate) / (1 - null))
             )
-        self._highest = max(self._highest, _log_mean_exp(self._logs))
+        self._rate.add(logs)
 
-    def _weigh_good(self, new: evidence.Sample) -> None:
-        old_rate = (self._old[1] + _PRIOR_FAILURES) / (
+    def _old_rate(self) -> float:
+        return (self._old[1] + _PRIOR_FAILURES) / (
             self._old[0] + _PRIOR_REQUESTS
         )
+
+    def _weigh_good(self, new: evidence.Sample, failures: int) -> None:
+        old_rate = self._old_rate()
         bad_rate = max(BAD_RATIO * old_rate, old_rate + BAD_DIFFERENCE)
         bad_rate = min(bad_rate, (1 + old_rate) / 2)
         succeeded = new.requests - new.failures
-        self._good_log += new.failures * math.log(old_rate / bad_rate)
+        self._good_log += failures * math.log(old_rate / bad_rate)
         self._good_log += succeeded * math.log((1 - old_rate) / (1 - bad_rate))
 
 
+class _Mixture:
+    """Weighted sum of likelihood ratios that begin at different looks.
+
+    The weights 1/j(j+1) add up to one, so the sum is a supermartingale like
+    each of its terms. Dropping a term only makes it smaller.
+    """
+
+    def __init__(self, alternatives: int) -> None:
+        self.highest = -math.inf
+        self._alternatives = alternatives
+        self._looks = 0
+        self._begun: list[list[float]] = []
+
+    def add(self, logs: Sequence[float]) -> None:
+        """Adds the log likelihood ratios of one look."""
+        if self._looks % _RESTART_LOOKS == 0:
+            self._begin()
+        self._looks += 1
+        for begun in self._begun:
+            for index, log in enumerate(logs):
+                begun[index] += log
+        self.highest = max(
+            self.highest, _log_sum_exp([log for b in self._begun for log in b])
+        )
+
+    def _begin(self) -> None:
+        number = 1 + self._looks // _RESTART_LOOKS
+        weight = 1 / (number * (number + 1) * self._alternatives)
+        self._begun.append([math.log(weight)] * self._alternatives)
+        if len(self._begun) > _KEPT_RESTARTS:
+            del self._begun[1]
+
+
 class _RankTest:
     def __init__(self, name: str, level: float, false_pass: float) -> None:
         self._name = name
@@ -344,10 +437,9 @@
     return ratio * new / (ratio * new + old)
 
 
-def _log_mean_exp(logs: Sequence[float]) -> float:
+def _log_sum_exp(logs: Sequence[float]) -> float:
     top = max(logs)
-    total = sum(math.exp(item - top) for item in logs)
-    return top + math.log(total / len(logs))
+    return top + math.log(sum(math.exp(item - top) for item in logs))
 
 
 def _rank_sum(
--- a/libs/rollout/src/dandelionlead/rollout/schedule.py
+++ b/libs/rollout/src/dandelionlead/rollout/schedule.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 MAX_UNJUDGED_SHARE = 0.05
-# Shares after the version was judged good on every route.
-STEPS = (0.1, 0.25, 0.5, 1.0)
+# Shares after the version was judged good on every route. The old version
+# keeps a quarter of the traffic until the end, because without it there is
+# nothing to compare with at the same time and load.
+STEPS = (0.1, 0.25, 0.5, 0.75)
 FIRST_SHARE = 0.01
 # Part of the time to the deadline that is spent at FIRST_SHARE.
 FIRST_PART = 0.02
@@ -15,7 +17,7 @@
 # begins before the deadline.
 USABLE_PART = 0.8
 # A judgement is waited for until so much of the time is left, in steps.
-SHORTEST_STEP_S = 5.0
+SHORTEST_STEP_S = 15.0
 
 
 class State:
