--- a/libs/entry/tests/test_shutdown_process.py
+++ b/libs/entry/tests/test_shutdown_process.py
@@ -64,9 +64,7 @@
         )
         for name in ("entry-1", "entry-2", "entry-3"):
             self.eventually(
-                lambda name=name: (
-                    self.deploy.entries["entry-2"] not in self._addresses(name)
-                ),
+                lambda name=name: self._lists_without(name, "entry-2"),
                 2,
                 f"{name} no longer lists the leaving entry",
             )
