--- a/libs/entry/tests/process_case.py
+++ b/libs/entry/tests/process_case.py
@@ -18,6 +18,7 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parents[3]
 _EVENT_ID = re.compile(rb"^id: ([^:\n]+):(\d+)$", re.MULTILINE)
+CHAT = "/v1/chat/completions"
 HTTP_ERROR = urllib3.exceptions.HTTPError
 # `dandelionctl apply`: accepted by all; accepted, but not confirmed by all.
 APPLIED = (0, 6)
@@ -157,6 +158,44 @@
         reply.heard_at = time.monotonic()
         return reply
 
+    def chat(self, entry: str, text: str, tokens: int) -> Reply:
+        """Asks an entry for a generation without streaming."""
+        body = {
+            "model": "quote-writer",
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": 400,
+            "standin_tokens": tokens,
+        }
+        return self.send(
+            "POST", self.url(entry, CHAT), body=json.dumps(body).encode()
+        )
+
+    def load(self, callers: int, tokens: int) -> tuple[list[Reply], Any]:
+        """Starts callers; returns their replies and a function that stops."""
+        stop = threading.Event()
+        replies: list[Reply] = []
+
+        def caller(number: int) -> None:
+            entry = f"entry-{number % self.ENTRIES + 1}"
+            count = 0
+            while not stop.is_set():
+                count += 1
+                text = f"Draft {number}-{count}. " + "cedar bucket " * 20
+                reply = self.chat(entry, text, tokens)
+                replies.append(reply)
+                if reply.status != 200:
+                    time.sleep(0.1)
+
+        pending = [self.in_thread(caller, n) for n in range(callers)]
+        self.addCleanup(stop.set)
+
+        def end() -> None:
+            stop.set()
+            for result in pending:
+                result()
+
+        return replies, end
+
     def in_thread(self, function: Any, *args: Any, **kwargs: Any) -> Any:
         """Starts a function; the returned function waits for its result."""
         results: list[Any] = []
