--- a/libs/admission/src/dandelionlead/admission/limits.py
+++ b/libs/admission/src/dandelionlead/admission/limits.py
@@ -7,8 +7,10 @@
 
 # First-token time that the service promises at p95.
 FIRST_TOKEN_TARGET_S = 0.58
-# A cold endpoint starts with this part of its memory.
-FIRST_STEP_FRACTION = 1 / 16
+# A cold endpoint starts with this part of its memory. It also bounds the units
+# that are granted and not confirmed. In the bench, three entries at 0.9 of
+# capacity answered 93% to 98% whole with 1/16, and 98.5% to 99.5% with 1/8.
+FIRST_STEP_FRACTION = 1 / 8
 # The limit falls when this part of at least `_SAMPLES_TO_FALL` first tokens, of
 # the last `_WINDOW`, is beyond the target. Single ones may be long prompts.
 _LATE_FRACTION = 0.25
@@ -181,17 +183,20 @@
         since: float,
     ) -> None:
         """Raises or lowers the limit by at most one step."""
-        for waited_s in first_token_s:
-            # It may have been granted before the present step.
-            if since - waited_s >= self._step_at:
-                self._window.append(waited_s <= self._target_s)
+        # Others may have been granted before the present step.
+        in_time = [
+            waited_s <= self._target_s
+            for waited_s in first_token_s
+            if since - waited_s >= self._step_at
+        ]
+        self._window += in_time
         del self._window[:-_WINDOW]
         late = self._window.count(False)
         count = len(self._window)
         if count >= _SAMPLES_TO_FALL and late > count * _LATE_FRACTION:
             self._saturated = True
             self._set(max(self.first_step, self._limit // 2), now)
-        elif count and not late:
+        elif in_time and not late:
             self._rise(units_at_work, now)
 
     def _rise(self, proven: int, now: float) -> None:
