Reserve by plans that grow with the running generations

The entry still asked the policy for each request, and every generation was refused with an internal error. Change: placement keeps a plan for each endpoint, made anew each second from the generations' present lengths; reports hold the units that the plan keeps.

--- a/libs/entry/src/dandelionlead/entry/capacity.py
+++ b/libs/entry/src/dandelionlead/entry/capacity.py
@@ -47,6 +47,9 @@
         changed: Callable[[], None],
     ) -> None:
         self.pool = grants.GrantPool()
+        # Units that the reservation policy keeps at an endpoint; set by the
+        # placement, which knows how far the generations have grown.
+        self.reserved: Callable[[str], int | None] = _not_planned
         self._name = name
         self._delegations = ownership.Delegations(member_part)
         self._part = member_part
@@ -147,7 +150,7 @@
     def _report(
         self, name: str, offer: ownership.Offer, now: float
     ) -> ttypes.EndpointReport:
-        usage = self.pool.usage(name, now)
+        usage = self.pool.usage(name, now, reserved=self.reserved(name))
         failed = name in self._failed
         self._failed.discard(name)
         return ttypes.EndpointReport(
@@ -219,3 +222,7 @@
         if self._delegations.owner(name, self._live(), now) == owner:
             self.pool.answered(name, status)
             self._accepts[name] = status
+
+
+def _not_planned(endpoint: str) -> None:
+    del endpoint
--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import functools
 import json
 import uuid
+from collections.abc import Callable
 from collections.abc import Iterator
 from typing import Any
 from typing import TYPE_CHECKING
@@ -226,10 +228,14 @@
             token.generation_id,
             token.units,
         )
+        # The token holds the units that were reserved, not how they came about.
+        work = lengths.Work(token.route, token.team, token.units, 1)
+        running = placement.Running(work, lease, lambda: 0)
+        self._queue.started(endpoint.name, running)
         chunks = relayed.chunks()
         first = next(chunks, b"")
         if not first and relayed.failure is not None:
-            self._capacity.pool.release(lease, clock.boottime())
+            self._release(endpoint.name, running)
             return relayed.failure
         self._log.event(
             "stream_resumed",
@@ -238,7 +244,8 @@
             endpoint=endpoint.name,
             position=position,
         )
-        tail = self._resumed(relayed, first, chunks, lease, request_id)
+        ended = functools.partial(self._release, endpoint.name, running)
+        tail = self._resumed(relayed, first, chunks, ended, request_id)
         return Stream(token.generation_id, text, tail)
 
     def _try_once(self, call: Call) -> Stream | errors.Failure:
@@ -286,7 +293,7 @@
         relayed: relay.Relay,
         first: bytes,
         chunks: Iterator[bytes],
-        lease: Any,
+        ended: Callable[[], None],
         request_id: str,
     ) -> Iterator[bytes]:
         self.open_streams += 1
@@ -297,14 +304,9 @@
         finally:
             self.open_streams -= 1
             if relayed.finished or relayed.failure is not None:
-                self._capacity.pool.release(lease, clock.boottime())
+                ended()
             else:
-                eventlet.spawn_after(
-                    RESUME_WINDOW_S,
-                    lambda: self._capacity.pool.release(
-                        lease, clock.boottime()
-                    ),
-                )
+                eventlet.spawn_after(RESUME_WINDOW_S, ended)
             self._log.event(
                 "stream_end",
                 req=request_id,
@@ -313,6 +315,10 @@
                 faults=len(relayed.faults),
             )
 
+    def _release(self, endpoint: str, running: placement.Running) -> None:
+        self._queue.ended(endpoint, running)
+        self._capacity.pool.release(running.lease, clock.boottime())
+
 
 class _Attempt:
     """One generation on one endpoint."""
@@ -327,10 +333,11 @@
         self._owner = owner
         self._call = call
         self._placed = placed
-        self._work = work
         self._endpoint = placed.endpoint
         self._started_at = 0.0
         self._version = ""
+        self._relayed: relay.Relay | None = None
+        self._running = placement.Running(work, placed.lease, self._position)
         self._generation_id = generation_ids.make(
             uuid.uuid4().hex, placed.lease.units
         )
@@ -346,7 +353,7 @@
                 "the configuration could not be confirmed before dispatch",
             )
         self._started_at = clock.boottime()
-        owner._queue.started(self._placed, self._work)
+        owner._queue.started(self._endpoint.name, self._running)
         owner._view.begin(self._endpoint.name, self._generation_id, call)
         owner._log.event(
             "dispatch",
@@ -386,6 +393,7 @@
             owner._engines, self._endpoint.address, self._generation_id
         )
         relayed = relay.Relay(self._generation_id, source, pause=_pause)
+        self._relayed = relayed
         chunks = relayed.chunks(reader)
         first = next(chunks, b"")
         if not first:
@@ -498,10 +506,11 @@
     def _leave_running(self) -> None:
         eventlet.spawn_after(RESUME_WINDOW_S, self._release)
 
+    def _position(self) -> int:
+        return self._relayed.position if self._relayed is not None else 0
+
     def _release(self) -> None:
-        owner = self._owner
-        owner._queue.ended(self._placed, self._work)
-        owner._capacity.pool.release(self._placed.lease, clock.boottime())
+        self._owner._release(self._endpoint.name, self._running)
 
 
 def _collected(stream: Stream) -> Stream | errors.Failure:
--- a/libs/entry/src/dandelionlead/entry/node.py
+++ b/libs/entry/src/dandelionlead/entry/node.py
@@ -100,7 +100,10 @@
             log,
             self._capacity.saw_incarnation,
         )
-        self._placement = placement.Placement(self._capacity)
+        self._placement = placement.Placement(
+            self._capacity, lambda: len(self._live_entries())
+        )
+        self._capacity.reserved = self._placement.reserved
         self._rollouts = rollouts.Rollouts(cfg.name, incarnation, log)
         self._view = routing_view.RoutingView(
             cfg.availability_zone,
--- a/libs/entry/src/dandelionlead/entry/placement.py
+++ b/libs/entry/src/dandelionlead/entry/placement.py
@@ -21,6 +21,8 @@
     from dandelionlead.config import model
     from dandelionlead.entry import capacity
 
+# Running generations grow, so that plans are made anew this often.
+PLAN_S = 1.0
 # Requests that wait are looked at again this often even if nothing changed.
 PUMP_PERIOD_S = 0.1
 
@@ -70,6 +72,28 @@
         self.placed: event.Event = event.Event()
 
 
+class Running:
+    """A generation of this entry on an endpoint.
+
+    Attributes:
+        work: Its memory.
+        lease: Its units.
+        position: Returns the tokens that it has generated.
+    """
+
+    __slots__ = ("work", "lease", "position")
+
+    def __init__(
+        self,
+        work: lengths.Work,
+        lease: grants.Lease,
+        position: Callable[[], int],
+    ) -> None:
+        self.work = work
+        self.lease = lease
+        self.position = position
+
+
 class Placement:
     """Places requests on endpoints in fair order.
 
@@ -77,14 +101,24 @@
         lengths: Learned output lengths.
     """
 
-    def __init__(self, source: capacity.Capacity) -> None:
+    def __init__(
+        self, source: capacity.Capacity, entries: Callable[[], int]
+    ) -> None:
+        """Starts without a configuration.
+
+        Args:
+            source: Units that this entry may use.
+            entries: Returns the number of entries that reserve together.
+        """
         self.lengths = lengths.Lengths()
         self._policy: lengths.ReservationPolicy = lengths.ByLength(self.lengths)
         self._capacity = source
+        self._entries = entries
         self._queues: dict[str, fairness.FairQueue] = {}
         self._overload: dict[str, overload.Overload] = {}
         self._weights: dict[str, float] = {}
-        self._running: dict[str, list[lengths.Work]] = {}
+        self._running: dict[str, list[Running]] = {}
+        self._plans: dict[str, tuple[float, lengths.Plan]] = {}
         self._pumping = False
 
     def configure(self, operators: model.Operators) -> None:
@@ -95,8 +129,11 @@
         for queue in self._queues.values():
             queue.set_weights(self._weights)
         self._policy = lengths.ByLength(
-            self.lengths, k=operators.admission.deviations
+            self.lengths,
+            k=operators.admission.deviations,
+            entries=max(1, self._entries()),
         )
+        self._plans.clear()
 
     def wait(
         self, wish: Wish, team: str, priority: int, deadline: float
@@ -104,7 +141,13 @@
         """Waits until the request is placed or refused."""
         now = clock.boottime()
         item = fairness.Waiting(
-            team, self._units(wish.work), priority, deadline, now, wish
+            team,
+            self._units(wish.work),
+            priority,
+            deadline,
+            now,
+            wish,
+            route=wish.work.route,
         )
         queue = self._queue(wish.model)
         refusal = self._overload[wish.model].refusal(queue, item, now)
@@ -125,17 +168,32 @@
             f"no endpoint had {item.units} units free in time",
         )
 
-    def started(self, placed: Placed, work: lengths.Work) -> None:
-        """Notes that a request runs on an endpoint."""
-        self._running.setdefault(placed.endpoint.name, []).append(work)
-
-    def ended(self, placed: Placed, work: lengths.Work) -> None:
-        """Notes that a request no longer runs on an endpoint."""
-        running = self._running.get(placed.endpoint.name, [])
-        if work in running:
-            running.remove(work)
+    def started(self, endpoint: str, running: Running) -> None:
+        """Notes that a generation runs on an endpoint."""
+        self._running.setdefault(endpoint, []).append(running)
+        known = self._plans.get(endpoint)
+        if known is not None:
+            made_at, plan = known
+            self._plans[endpoint] = made_at, plan.with_new(running.work)
+
+    def ended(self, endpoint: str, running: Running) -> None:
+        """Notes that a generation no longer runs on an endpoint."""
+        listed = self._running.get(endpoint, [])
+        if running in listed:
+            listed.remove(running)
+            self._plans.pop(endpoint, None)
         self.pump()
 
+    def reserved(self, endpoint: str) -> int:
+        """Returns the units kept for confirmed generations together."""
+        return self._policy.reserve(
+            [
+                item.work
+                for item in self._grown(endpoint)
+                if item.lease.confirmed
+            ]
+        )
+
     def pump_forever(self) -> None:
         """Looks after requests that wait, for ever."""
         while True:
@@ -180,7 +238,7 @@
             item = queue.pop(now, fits)
             if item is None:
                 return
-            self._overload[name].started(item.units, now)
+            self._overload[name].started(item, now)
             self._answer(item.payload, found.pop())
 
     def _place(self, wish: Wish) -> Placed | None:
@@ -211,12 +269,27 @@
     def _units_at(self, wish: Wish, endpoint: model.Endpoint) -> int:
         if wish.alone:
             return max(1, self._capacity.limit_units(endpoint.name))
-        running = self._running.get(endpoint.name, [])
-        units = max(1, self._policy.needed(running, wish.work))
+        units = self._plan(endpoint.name).needed(wish.work)
         return min(units, endpoint.memory_tokens)
 
+    def _plan(self, endpoint: str) -> lengths.Plan:
+        now = clock.boottime()
+        made_at, plan = self._plans.get(endpoint, (0.0, None))
+        if plan is None or now - made_at > PLAN_S:
+            works = [item.work for item in self._grown(endpoint)]
+            plan = self._policy.plan(works)
+            self._plans[endpoint] = now, plan
+        return plan
+
+    def _grown(self, endpoint: str) -> list[Running]:
+        """Returns the generations with their present lengths."""
+        listed = self._running.get(endpoint, [])
+        for item in listed:
+            item.work.generated = item.position()
+        return listed
+
     def _units(self, work: lengths.Work) -> int:
-        return max(1, self._policy.needed([], work))
+        return self._policy.plan([]).needed(work)
 
     def _answer(self, wish: Wish, result: Placed | errors.Failure) -> None:
         if not wish.placed.ready():
--- a/libs/entry/tests/test_orders_process.py
+++ b/libs/entry/tests/test_orders_process.py
@@ -218,7 +218,7 @@
 
     def test_outage_before_the_call(self):
         self.deploy.faults(self.deploy.platform, outage=True)
-        reply = self._order("entry-1", "outage-first", X_Try_Number=1)
+        reply = self._order("entry-1", "outage-first", X_Order_Try=1)
         self.assertEqual(reply.run, "not_run", reply)
         # Without a number an earlier call may have run, so it is not known.
         reply = self._order("entry-1", "outage-unnumbered")
@@ -259,7 +259,7 @@
             with self.subTest(faults):
                 key = f"lost-commit-{number}"
                 self.deploy.faults(self.deploy.platform, reset=True, **faults)
-                reply = self._order("entry-1", key, X_Try_Number=1)
+                reply = self._order("entry-1", key, X_Order_Try=1)
                 if reply.run == "not_run":
                     self.assertEqual(self._count(key), 0)
                 if faults["late_commit_s"]:
@@ -268,7 +268,7 @@
                 if reply.run == "not_run":
                     self.assertEqual(self._count(key), 0)
                 self.deploy.faults(self.deploy.platform, reset=True)
-                again = self._order("entry-2", key, X_Try_Number=2)
+                again = self._order("entry-2", key, X_Order_Try=2)
                 self.assertIn(again.run, ("ran", "unknown"), again)
                 if reply.run == "not_run":
                     self.assertEqual(again.status, 200, again)
@@ -323,7 +323,7 @@
             key = f"storm-{number}-{order}"
             for attempt in range(1, 5):
                 entry = f"entry-{rng.randrange(1, 4)}"
-                reply = self._order(entry, key, X_Try_Number=attempt)
+                reply = self._order(entry, key, X_Order_Try=attempt)
                 if reply.status == 200:
                     break
             time.sleep(rng.uniform(0.0, 0.05))
