Measure rollouts; tolerate 20% slowdown; relay all answers in an outage

Cause: versions that are 10% slower on endpoints that differ by 3% were taken back in 7.8% of 400 rollouts. In a model of 400 entries in an outage, 17% of dispatches were refused.

Change: latency buckets have a ratio of 1.2 (62 instead of 80 buckets).

With 400 entries 17% if three exchanges start at once each second, with and without the larger relay; 1.6% if they are spread over the second.

Ruled out: a tolerance of two buckets, which hides slowdowns near 1.5.

--- a/libs/membership/src/dandelionlead/membership/freshness.py
+++ b/libs/membership/src/dandelionlead/membership/freshness.py
@@ -42,7 +42,9 @@
 START_HOLD_S = 1.5
 
 # A relayed answer takes 4 bytes: 3 of the hash of the name, 1 of its age.
-# Half of 400 members take 804 bytes in each message, during an outage only.
+# 400 members take 1.6 KB in each answer, 9.6 KB/s, during an outage only. In a
+# model of 400 entries in an outage, 1.6% of the dispatches were refused with
+# an exchange every third of a second, and 17% with three at once each second.
 _HASH_BYTES = 3
 _VOUCHER_BYTES = _HASH_BYTES + 1
 _AGE_STEP_S = 1 / 64
@@ -207,17 +209,22 @@
             return False
         return self._is_fresh(now) or not self._outage_fault(now)
 
-    def report(self, now: float) -> Report:
-        """Returns what to tell a peer."""
+    def report(self, now: float, *, answering: bool = True) -> Report:
+        """Returns what to tell a peer.
+
+        Args:
+            now: Present time.
+            answering: Whether the report goes into an answer. In a request
+                the vouchers are left out, since the receiver may not use them.
+        """
         confirmed_s_ago = -1.0
         if self._started and self._confirmed:
             confirmed_s_ago = max(0.0, now - max(self._confirmed.values()))
-        if self._platform_failed_at == -math.inf:
-            failed_s_ago = -1.0
-            vouchers = b""
-        else:
+        failed_s_ago = -1.0
+        vouchers = b""
+        if self._platform_failed_at > -math.inf:
             failed_s_ago = max(0.0, now - self._platform_failed_at)
-            vouchers = self._pack(now)
+            vouchers = self._pack(now) if answering else b""
         return Report(
             self._heads.highest_known, confirmed_s_ago, failed_s_ago, vouchers
         )
@@ -321,10 +328,9 @@
         agreeing = self._agreeing(now)
         if not self._started:
             return b""
-        latest = sorted(agreeing, key=lambda name: -agreeing[name])
         packed = bytearray()
-        for name in latest[: len(self._voters) // 2 + 1]:
-            steps = math.ceil((now - agreeing[name]) / _AGE_STEP_S)
+        for name, at in agreeing.items():
+            steps = math.ceil((now - at) / _AGE_STEP_S)
             packed += _hash(name)
             packed.append(max(0, min(255, steps)))
         return bytes(packed)
--- a/libs/rollout/src/dandelionlead/rollout/evidence.py
+++ b/libs/rollout/src/dandelionlead/rollout/evidence.py
@@ -7,11 +7,12 @@
 from collections.abc import Sequence
 
 # Bounds of the latency buckets: bucket i holds durations from
-# FIRST_S * RATIO**i. 15% is the slowdown that the judge tolerates, and 80
-# buckets reach from 1 ms to 62 s.
+# FIRST_S * RATIO**i. 20% is the slowdown that the judge tolerates: with 15%,
+# 31 of 400 simulated versions that were 10% slower, on endpoints that differ
+# by 3%, were taken back. 62 buckets reach from 1 ms to 81 s.
 FIRST_S = 0.001
-RATIO = 1.15
-BUCKETS = 80
+RATIO = 1.2
+BUCKETS = 62
 
 
 def bucket(seconds: float) -> int:
--- a/libs/rollout/src/dandelionlead/rollout/judge.py
+++ b/libs/rollout/src/dandelionlead/rollout/judge.py
@@ -54,8 +54,8 @@
 _RESTART_LOOKS = 5
 _KEPT_RESTARTS = 8
 
-# Slower by one bucket (15%) is tolerated; a good version is shown to be
-# slower by less than two to three buckets (32% to 52%).
+# Slower by one bucket (20%) is tolerated; a good version is shown to be
+# slower by less than two to three buckets (44% to 73%).
 _TOLERATED_BUCKETS = 1
 _BAD_BUCKETS = 2
 # Variance at which the sequential bound is tightest, in units of one
