Count an entry again that left and was started under the same name

Cause: `voters` left out an entry whose earlier life had left, even while the platform listed its present life, if gossip from it did not arrive. The majority for a common outage was then too small.

Change: after an entry left or died, a list that was read later decides: live there counts, anything else does not. Without a later list, as in an outage, one that left does not count and one that died does.

Ruled out: counting everyone who was ever known, since rolling replacement during an outage would stop service.

--- a/libs/membership/src/dandelionlead/membership/members.py
+++ b/libs/membership/src/dandelionlead/membership/members.py
@@ -178,8 +178,9 @@
         """Returns the entries whose majority decides on a common outage.
 
         A dead entry counts until it is known to have left, or until a list
-        of the platform that was read after its death no longer names it. The
-        set therefore does not shrink because of a partition.
+        of the platform that was read after its death no longer shows it as
+        live. The set therefore does not shrink because of a partition. An
+        entry that left counts again while a later list shows it as live.
         """
         return {
             name
@@ -398,12 +399,16 @@
         record.sent = 0
 
     def _votes(self, record: _Record) -> bool:
-        if record.state.role == ROLE_STEWARD or record.left:
+        if record.state.role == ROLE_STEWARD:
             return False
-        if record.state.state != DEAD:
+        ended = record.left or record.state.state == DEAD
+        if not ended:
             return True
-        unlisted = record.state.name not in self._listed
-        return not (unlisted and self._listed_at > record.since)
+        listed = self._listed.get(record.state.name)
+        if self._listed_at > record.since:
+            # The platform may know a later life of the name.
+            return listed == "live"
+        return not record.left
 
     def _forgettable(self, record: _Record, age_s: float) -> bool:
         if record.state.state != DEAD or age_s < FORGET_AFTER_S:
