--- a/libs/daemon/src/dandelionlead/daemon/gossip.py
+++ b/libs/daemon/src/dandelionlead/daemon/gossip.py
@@ -28,8 +28,13 @@
 EXCHANGES = 3
 POLL_PERIOD_S = 1.0
 LIST_PERIOD_S = 2.0
-# A part of the configuration is asked for from this many peers at once.
+# Exchanges at one time when all members are told something at once.
+_TELL_AT_ONCE = 64
+# A part of the configuration is asked for from this many peers in turn.
 _PART_PEERS = 2
+# Silent peers must leave time for the store: a head that is known and not
+# complete for 3 s stops this entry.
+_PART_PEERS_S = 1.0
 HEAD_KEY = api.Key(config_head.TABLE, config_head.KEY)
 VERSION_KEY = api.Key(config_head.TABLE, config_head.VERSION_KEY)
 
@@ -115,6 +120,18 @@
                 eventlet.spawn_n(self._exchange, target)
             eventlet.sleep(EXCHANGE_PERIOD_S)
 
+    def tell_all(self) -> None:
+        """Exchanges with all live members now; waits at most a call's time.
+
+        Random exchanges take several seconds to reach all of 400 members.
+        """
+        pool = eventlet.GreenPool(_TELL_AT_ONCE)
+        for target in self._table.live(clock.boottime()):
+            if target.name != self._own_name:
+                pool.spawn_n(self._exchange, target)
+        with eventlet.Timeout(members.EXCHANGE_DEADLINE_S, False):
+            pool.waitall()
+
     def poll_head(self) -> None:
         """Reads the version row, the other watched rows, and a new head."""
         sent_at = clock.boottime()
@@ -284,10 +301,11 @@
             self._changed()
 
     def _fetch_from_peers(self) -> None:
+        ends_at = clock.boottime() + _PART_PEERS_S
         peers = self._table.gossip_targets(self._rng, _PART_PEERS)
         for peer in peers:
             missing = self._keeper.missing()
-            if not missing:
+            if not missing or clock.boottime() >= ends_at:
                 return
             found = self._call(peer.control_address, "get_parts", missing)
             if not isinstance(found, errors.Failure):
