--- a/libs/standins/tests/test_platform_core_fuzz.py
+++ b/libs/standins/tests/test_platform_core_fuzz.py
@@ -29,17 +29,21 @@
         self.rows = {}
         self.late = []
 
-    @stateful.rule(ops=_OPS, fault=st.sampled_from(["", "answer", "request"]))
-    def transact(self, ops, fault):
+    @stateful.rule(
+        ops=_OPS,
+        fault=st.sampled_from(["", "answer", "request"]),
+        late_s=st.sampled_from([0.0, 1.0, 3.0]),
+    )
+    def transact(self, ops, fault, late_s):
         ops = [self._resolved(op) for op in ops]
-        self._set_faults(fault)
+        self._set_faults(fault, late_s)
         outcome = self.platform.tables.transact(_writes(ops), self.now)
         self._deliver()
         if fault == "request":
             self.assert_lost(outcome)
-        elif fault == "answer" and self.late_s > 0:
+        elif fault == "answer" and late_s > 0:
             self.assert_lost(outcome)
-            self.late.append((self.now + self.late_s, ops))
+            self.late.append((self.now + late_s, ops))
         else:
             expected = self._apply(ops)
             if fault:
@@ -60,14 +64,10 @@
             return
         raise AssertionError("A row named twice was accepted.")
 
-    @stateful.rule(seconds=st.sampled_from([0.5, 1.0, 2.0]))
+    @stateful.rule(seconds=st.sampled_from([0.5, 1.0, 5.0]))
     def wait(self, seconds):
         self.now += seconds
 
-    @stateful.rule(late_s=st.sampled_from([0.0, 1.0, 3.0]))
-    def set_late_commits(self, late_s):
-        self.late_s = late_s
-
     @stateful.invariant()
     def rows_agree(self):
         names = list("abc")
@@ -83,17 +83,15 @@
                 # The caller's copy is not the stored row.
                 row.value["v"] = "changed"
 
-    late_s = 0.0
-
     def assert_lost(self, outcome):
         assert isinstance(outcome, platform_core.Lost)
 
-    def _set_faults(self, fault):
+    def _set_faults(self, fault, late_s):
         self.platform.faults.update(
             {
                 "lose_answers": int(fault == "answer"),
                 "lose_requests": int(fault == "request"),
-                "late_commit_s": self.late_s,
+                "late_commit_s": late_s,
             }
         )
 
