--- a/libs/admission/src/dandelionlead/admission/lengths.py
+++ b/libs/admission/src/dandelionlead/admission/lengths.py
@@ -162,6 +162,13 @@
         """Returns the plan of these generations."""
         return _ListPlan(self, list(running))
 
+    def needed(self, running: Sequence[Work], new: Work) -> int:
+        """Returns the units that one more generation needs, at least 1.
+
+        A plan that is kept for a second costs much less per request.
+        """
+        return self.plan(running).needed(new)
+
 
 class ByLength(ReservationPolicy):
     """Peak of the memory that the generations will need together.
--- a/libs/admission/src/dandelionlead/admission/overload.py
+++ b/libs/admission/src/dandelionlead/admission/overload.py
@@ -50,13 +50,27 @@
         # Actual and estimated waits per route, as decaying sums.
         self._waits: dict[str, tuple[float, float]] = {}
 
-    def started(self, item: fairness.Waiting, now: float) -> None:
-        """Learns that a request was started."""
+    def started(
+        self,
+        units: int,
+        now: float,
+        *,
+        item: fairness.Waiting | None = None,
+    ) -> None:
+        """Learns that a request of so many units was started.
+
+        Args:
+            units: Its units.
+            now: Time.
+            item: The request, if it came through `refusal` and waited; the
+                error of its estimate is learned.
+        """
         if self._first_at == _NEVER:
             self._first_at = now
-        self._rate = self.rate(now) + item.units / _RATE_S
+        self._rate = self.rate(now) + units / _RATE_S
         self._rate_at = now
-        self._learn(item, now)
+        if item is not None:
+            self._learn(item, now)
 
     def rate(self, now: float) -> float:
         """Returns units started per second, lately."""
--- a/libs/admission/tests/test_overload.py
+++ b/libs/admission/tests/test_overload.py
@@ -11,8 +11,7 @@
     """Returns an estimator that saw `rate` units/s for 20 s until now=20."""
     result = overload.Overload()
     for tick in range(200):
-        item = fairness.Waiting("t", rate / 10, 0, 60.0, tick / 10)
-        result.started(item, tick / 10)
+        result.started(rate / 10, tick / 10)
     return result
 
 
@@ -61,7 +60,7 @@
             item = waiting("t", 60.0)
             item.route = "short"
             estimator.refusal(queue, item, 20.0)
-            estimator.started(item, 20.5)
+            estimator.started(10, 20.5, item=item)
         item = waiting("t", 25.0)
         item.route = "short"
         self.assertIsNone(estimator.refusal(queue, item, 20.5))
--- a/tools/bench_admission.py
+++ b/tools/bench_admission.py
@@ -442,7 +442,7 @@
             if item is None:
                 break
             self._gate(item.payload.work).add(item.payload, now)
-            self.overload.started(item, now)
+            self.overload.started(item.units, now, item=item)
 
     def _fits(self, item):
         return self._gate(item.payload.work) is not None
@@ -696,7 +696,7 @@
             entry.running[index][req] = lease
             entry.plans[index] = entry.plans[index].with_new(req.work)
             self.gates[index].engine.send(req, now)
-            entry.overload.started(item, now)
+            entry.overload.started(item.units, now, item=item)
 
 
 RESERVATIONS = {
