Let a member join again after a gap

A member that was frozen for 40 s, and that the others had stopped to count, still carried its part on waking in an outage of the platform; and a joiner that was listed before an outage settled at once after it, before the carriers had read the list. Change: freshness and reads of the list must be without a gap, and the time to settle counts from the end of a common outage. Two unit tests, one for each. Ruled out: a fault of the ledger: its parts added up to more than one. Conclusion: the two remaining cases are stated in the module's first comment.

--- a/libs/admission/src/dandelionlead/admission/parts.py
+++ b/libs/admission/src/dandelionlead/admission/parts.py
@@ -13,17 +13,19 @@
   brings the names that the peer counts, so that of two joiners at least one
   waits for the other. `LAPSE_S` lets delegations of larger parts lapse.
 * Keeping: a carrier must be fresh (design page, 5.5) and must have read the
-  list, showing itself, within `LIST_S`. In a common outage of the platform
-  nobody can read the list, and the last read stays in force.
+  list, showing itself, within `LIST_S`, both without a gap. In a common outage
+  of the platform nobody can read the list, and the last read stays in force.
 * Leaving: a name is counted until it is silent and absent from reads of the
   list for `UNLISTED_S`, by which time it has stopped to carry; or until it said
   goodbye. Gossip of a dead name costs capacity, never safety.
 
 This assumes that two reads of the list at one time disagree about a change for
-at most `LIST_DISAGREES_S`. One case is bounded, not closed: the platform
-removes a running process from its list while that process and a majority are
-cut off from the platform, and a minority is not. The sum then exceeds one by at
-most the parts of the removed processes, until the outage ends.
+at most `LIST_DISAGREES_S`. Two cases are bounded, not closed. Both need a
+majority that is cut off from the platform and a minority that is not. In the
+first the platform removes a running process of the majority from its list; in
+the second a process joins on the side of the minority, unknown to the majority.
+The sum then exceeds one by at most the parts of these processes, until the
+majority reads the list.
 """
 
 from __future__ import annotations
@@ -87,6 +89,7 @@
         self._read_at = _NEVER
         self._fresh_at = _NEVER
         self._common_outage = False
+        self._outage_at = _NEVER
 
     def heard(
         self,
@@ -119,6 +122,7 @@
             names: The entries that the list shows.
             asked_at: Time immediately before the read was sent.
         """
+        self._lapse(asked_at)
         self._read_at = max(self._read_at, asked_at)
         for name in names:
             self._listed_at[name] = asked_at
@@ -126,13 +130,17 @@
             self._learn(name, 0, asked_at)
         if self._listed_at.get(self._member) != asked_at:
             self._listed_since = _NEVER
+            self._settled = False
         elif self._listed_since == _NEVER:
             self._listed_since = asked_at
 
     def fresh(self, now: float, *, common_outage: bool) -> None:
         """Notes that this process's rules are fresh (design page, 5.5)."""
+        self._lapse(now)
         self._fresh_at = now
         self._common_outage = common_outage
+        if common_outage:
+            self._outage_at = now
 
     def left(self, peer: str) -> None:
         """Forgets a peer that said it has ended all work and delegations."""
@@ -148,9 +156,9 @@
     def part(self, endpoint: str, now: float) -> float:
         """Returns the part of an endpoint's limit that this member carries."""
         peers = self.counted(now)
-        self._settled = self._keeps(now) and (
-            self._settled or self._joins(peers, now)
-        )
+        self._lapse(now)
+        if self._keeps(now) and self._joins(peers, now):
+            self._settled = True
         if not self._settled or not self.uses(endpoint):
             return 0.0
         return 1.0 / min(GROUP, len(peers) + 1)
@@ -169,6 +177,15 @@
         members = [*self._incarnations, self._member]
         return hashing.rank(endpoint, members)[:GROUP]
 
+    def _lapse(self, now: float) -> None:
+        """Notes a gap in freshness or in reads of the list.
+
+        It is called before either is renewed: a process that was frozen has to
+        join again, since others may have stopped to count it.
+        """
+        if not self._keeps(now):
+            self._settled = False
+
     def _keeps(self, now: float) -> bool:
         if now < self._carries_from or now - self._fresh_at > FRESH_S:
             return False
@@ -177,7 +194,8 @@
         return self._common_outage or now - self._read_at <= LIST_S
 
     def _joins(self, peers: Mapping[str, int], now: float) -> bool:
-        if now - self._listed_since > SETTLE_S and not self._common_outage:
+        # Carriers read no list in a common outage, nor right after it.
+        if now - max(self._listed_since, self._outage_at) > SETTLE_S:
             return True
         return all(self._acked(name, now) for name in peers)
 
--- a/libs/admission/tests/test_parts.py
+++ b/libs/admission/tests/test_parts.py
@@ -74,6 +74,25 @@
             part.fresh(float(tick), common_outage=True)
             self.assertEqual(part.part("x", float(tick)), 0.5)
 
+    def test_a_member_that_was_frozen_joins_again(self):
+        # Guards against a part that survives while others forget the member.
+        part = settled("a", ["b", "c"])
+        self.assertGreater(part.part("x", 100.0), 0)
+        for tick in range(140, 160):
+            part.fresh(float(tick), common_outage=True)
+            self.assertEqual(part.part("x", float(tick)), 0.0)
+
+    def test_carriers_read_the_list_again_before_a_joiner_settles(self):
+        part = parts.MemberPart("new", 0.0)
+        part.listed(["new", "a"], 8.0)
+        for tick in range(8, 80):
+            now = float(tick)
+            part.fresh(now, common_outage=tick < 40)
+            if tick >= 40:
+                part.listed(["new", "a"], now)
+            carries = part.part("x", now) > 0
+            self.assertEqual(carries, tick > 39 + parts.SETTLE_S, tick)
+
     def test_hearsay_does_not_bring_back_a_member_that_left(self):
         part = settled("a", ["b", "c"])
         part.left("c")
