--- a/libs/daemon/src/dandelionlead/daemon/rollouts.py
+++ b/libs/daemon/src/dandelionlead/daemon/rollouts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Callable
 from typing import Any
 from typing import TYPE_CHECKING
@@ -64,7 +65,8 @@
         member: Name of this process.
         incarnation: Start of this process.
         log: Event log.
-        new_judge: Makes the judge of one route.
+        new_judge: Makes the judge of one route, given the number of routes
+            of the model, which share the rate of wrong decisions.
     """
 
     def __init__(
@@ -72,18 +74,22 @@
         member: str,
         incarnation: int,
         log: events.Log,
-        new_judge: Callable[[], judge.Judge] = judge.SequentialJudge,
+        new_judge: Callable[[int], judge.Judge] | None = None,
     ) -> None:
         self.evidence = evidence.Evidence(member, incarnation)
         self.book = verdicts.VerdictBook()
         self._log = log
-        self._new_judge = new_judge
+        self._new_judge = new_judge or _sequential_judge
         self._models: dict[str, model.Model] = {}
         self._rows: dict[str, Progress] = {}
         self._tests: dict[tuple[str, str], _RouteTest] = {}
+        self._routes: dict[str, int] = {}
 
     def configure(self, operators: model.Operators) -> None:
         """Puts another configuration in force."""
+        self._routes = collections.Counter(
+            route.model for route in operators.routes.values() if route.model
+        )
         before = {rollout_id(item) for item in self._models.values()}
         self._models = {
             name: item for name, item in operators.models.items() if item.next
@@ -158,7 +164,7 @@
             for route in self.evidence.routes(name):
                 test = self._tests.get((wanted, route))
                 if test is None:
-                    test = _RouteTest(self._new_judge())
+                    test = _RouteTest(self._new_judge(self._routes_of(name)))
                     self._tests[(wanted, route)] = test
                 found = test.look(
                     self.evidence.total(name, item.next, route),
@@ -257,6 +263,9 @@
             }
         return found
 
+    def _routes_of(self, name: str) -> int:
+        return max(1, self._routes.get(name, 1))
+
     def _reader_of(self, name: str) -> Callable[[api.Row | None], None]:
         return lambda row: self._read_row(name, row)
 
@@ -294,6 +303,10 @@
             )
 
 
+def _sequential_judge(routes: int) -> judge.Judge:
+    return judge.SequentialJudge(routes=routes)
+
+
 class _RouteTest:
     """Judge of one route, with the totals of its last look."""
 
--- a/libs/entry/src/dandelionlead/entry/capacity.py
+++ b/libs/entry/src/dandelionlead/entry/capacity.py
@@ -68,8 +68,8 @@
         self._failed: set[str] = set()
         # Owners that have not answered the last report.
         self._reporting: set[str] = set()
-        # Endpoints without an owner that has answered; reported at each tick, so
-        # that a change of owner takes no longer than it must.
+        # Endpoints without an owner that has answered; reported at each tick,
+        # so that a change of owner takes no longer than it must.
         self._unsettled: set[str] = set()
         # Calls in a row that an owner missed, and until when it is passed over.
         self._missed: dict[str, int] = {}
--- a/libs/entry/src/dandelionlead/entry/placement.py
+++ b/libs/entry/src/dandelionlead/entry/placement.py
@@ -238,7 +238,7 @@
             item = queue.pop(now, fits)
             if item is None:
                 return
-            self._overload[name].started(item, now)
+            self._overload[name].started(item.units, now, item=item)
             self._answer(item.payload, found.pop())
 
     def _place(self, wish: Wish) -> Placed | None:
