--- a/libs/entry/src/dandelionlead/entry/routing_view.py
+++ b/libs/entry/src/dandelionlead/entry/routing_view.py
@@ -111,7 +111,7 @@
         found = {item.name: item for item in current.engines(call.wanted.model)}
         verdict = self.suspects.verdict(call.fingerprint, clock.boottime())
         if verdict is not suspects.Verdict.FREE:
-            return self._for_suspect(call.fingerprint, found)
+            return self._for_suspect(call, found)
         seen = self._seen(call, found)
         ranked = self._for_versions(call, seen, frozenset(call.tried))
         if not ranked and call.tried:
@@ -351,14 +351,17 @@
         return [item.name for item in [best, *rest]]
 
     def _for_suspect(
-        self, fingerprint: str, found: dict[str, model.Endpoint]
+        self, call: generation.Call, found: dict[str, model.Endpoint]
     ) -> list[model.Endpoint]:
         now = clock.boottime()
-        return [
-            found[name]
-            for name in self.suspects.rank(fingerprint, found)
-            if self._usable(name, now) and self._may_run(fingerprint, name)
+        usable = [
+            name
+            for name in self.suspects.rank(call.fingerprint, found)
+            if self._usable(name, now) and self._may_run(call.fingerprint, name)
         ]
+        # The first in rank may be the endpoint that has just died.
+        untried = [name for name in usable if name not in call.tried]
+        return [found[name] for name in untried or usable]
 
     def _may_run(self, fingerprint: str, endpoint: str) -> bool:
         running = set(self._running.get(endpoint, {}).values())
--- a/libs/entry/tests/test_endpoints_process.py
+++ b/libs/entry/tests/test_endpoints_process.py
@@ -56,7 +56,7 @@
         return ""
 
     def test_engine_restarted_cold_under_load(self):
-        _, end = self.load(_COLD_CALLERS, 150)
+        _, end = self.load(_COLD_CALLERS * 2, 400)
         time.sleep(2)
         self._restart_engine("quotation-1", **_COLD)
         time.sleep(_COLD_S)
@@ -66,13 +66,17 @@
     def test_owner_killed_while_the_engine_is_cold(self):
         _, end = self.load(_COLD_CALLERS, 150)
         time.sleep(1)
-        self._restart_engine("quotation-1", **_COLD)
-        time.sleep(2)
+        self._restart_engine("quotation-1", **(_COLD | {"cold_s": "40"}))
+        self.eventually(
+            lambda: self.endpoint_json("quotation-1", "/counts")["submitted"],
+            15,
+            "the cold engine gets work",
+        )
         owner = self._owner("quotation-1")
         self.assertTrue(owner, "no entry owns the engine")
         self.deploy.signal(owner, signal.SIGKILL)
         self.addCleanup(self.restart_entry, owner)
-        time.sleep(_COLD_S - 2)
+        time.sleep(_COLD_S)
         self._check_cold("quotation-1")
         end()
 
