--- a/tools/capacity/peers.py
+++ b/tools/capacity/peers.py
@@ -301,8 +301,7 @@
         sent = (link.request_bytes - sent) / size
         got = (link.reply_bytes - got) / size
         granted = sum(
-            member.capacity.pool.unused(name, clock.boottime())
-            for name in member.names
+            member.owners._ledger(name)._granted for name in member.names
         )
         # Short, so that the owner's lists of open grants stay short.
         used = common.processor_us(acquire, runs=runs, at_least_s=0.02)
