--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -34,9 +34,11 @@
 # Resume tokens outlive the longest generation; the engine decides on the rest.
 TOKEN_LIFETIME_S = 3600.0
 # An engine sends the headers of its answer before the first token.
-FIRST_ANSWER_S = 5.0
+# Some send them only with it; five silences of 2 s are the same bound.
+FIRST_ANSWER_S = 10.0
 # Back-off between two connections to one endpoint.
 _PAUSE_S = 0.1
+_HANDOVER = b"event: handover\ndata: {}\n\n"
 
 
 class Call:
@@ -147,8 +149,29 @@
         self._log = log
         self._metrics = registry
         self._may_dispatch = may_dispatch
+        self._handing_over = False
         self.open_streams = 0
 
+    def hand_over(self) -> None:
+        """Ends all streams after their next events, for resumption elsewhere.
+
+        Their generations go on; nothing is cancelled before the resume window
+        is over.
+        """
+        self._handing_over = True
+
+    def pass_on(
+        self, relayed: relay.Relay, chunks: Iterator[bytes], request_id: str
+    ) -> Iterator[bytes]:
+        """Yields the events of a relay and why it ends early, if it does."""
+        for chunk in chunks:
+            yield chunk
+            if self._handing_over and not relayed.finished:
+                yield _HANDOVER
+                return
+        if relayed.failure is not None:
+            yield problems.error_event(relayed.failure, request_id=request_id)
+
     def start(self, call: Call) -> Stream | errors.Failure:
         """Starts a generation and returns once its first events are here.
 
@@ -223,6 +246,7 @@
             call.wanted.model,
             work,
             lambda: self._view.candidates(call),
+            alone=self._view.runs_alone(call.fingerprint),
         )
         queued_at = clock.boottime()
         placed = self._queue.wait(
@@ -248,11 +272,7 @@
         try:
             if first:
                 yield first
-            yield from chunks
-            if relayed.failure is not None:
-                yield problems.error_event(
-                    relayed.failure, request_id=request_id
-                )
+            yield from self.pass_on(relayed, chunks, request_id)
         finally:
             self.open_streams -= 1
             if relayed.finished or relayed.failure is not None:
@@ -306,7 +326,7 @@
             )
         self._started_at = clock.boottime()
         owner._queue.started(self._placed, self._work)
-        owner._view.running(self._endpoint.name)
+        owner._view.begin(self._endpoint.name, self._generation_id, call)
         owner._log.event(
             "dispatch",
             req=call.request_id,
@@ -348,9 +368,12 @@
         chunks = relayed.chunks(reader)
         first = next(chunks, b"")
         if not first:
-            failure = relayed.failure or errors.Failure(
-                errors.Kind.GENERATION_LOST, "the endpoint sent no event"
+            reason = (
+                relayed.failure.reason
+                if relayed.failure
+                else "the endpoint sent no event"
             )
+            failure = errors.Failure(errors.Kind.GENERATION_LOST, reason)
             self._failed(failure, nothing_ran=False)
             return failure
         first_token_s = clock.boottime() - self._started_at
@@ -378,11 +401,7 @@
         owner.open_streams += 1
         try:
             yield first
-            yield from chunks
-            if relayed.failure is not None:
-                yield problems.error_event(
-                    relayed.failure, request_id=call.request_id
-                )
+            yield from owner.pass_on(relayed, chunks, call.request_id)
         finally:
             owner.open_streams -= 1
             self._end(relayed, first_token_s)
@@ -408,7 +427,7 @@
             self._failed(relayed.failure, nothing_ran=False)
         else:
             # The caller has gone and may resume at another entry.
-            owner._view.ended(self._endpoint.name)
+            owner._view.left(self._endpoint.name, self._generation_id)
             self._leave_running()
 
     def _finish_ok(
@@ -419,7 +438,7 @@
         owner._results.succeeded(
             call, self._endpoint, self._version, first_token_s, gap_s
         )
-        owner._view.ended(self._endpoint.name)
+        owner._view.ended_well(self._endpoint.name, self._generation_id)
         self._release()
 
     def _failed(self, failure: errors.Failure, *, nothing_ran: bool) -> None:
@@ -427,7 +446,10 @@
         name = self._endpoint.name
         owner._capacity.note_failed(name)
         owner._results.failed(call, self._endpoint, self._version, failure)
-        owner._view.ended(name)
+        incarnation = self._placed.lease.incarnation
+        owner._view.failed(
+            self._endpoint, self._generation_id, incarnation, failure
+        )
         if nothing_ran:
             self._release()
         else:
@@ -515,7 +537,7 @@
 def _never_ran(failure: errors.Failure) -> bool:
     return failure.kind in (
         errors.Kind.ENDPOINT_UNREACHABLE,
-        errors.Kind.NO_ENDPOINT,
+        errors.Kind.OVERLOADED,
     )
 
 
