--- a/tools/capacity/configuration.py
+++ b/tools/capacity/configuration.py
@@ -14,7 +14,7 @@
 from dandelionlead.config import head as config_head
 from dandelionlead.config import model
 from dandelionlead.config import parts
-from dandelionlead.entry import rules
+from dandelionlead.daemon import rules
 from dandelionlead.membership import spread
 
 
--- a/tools/capacity/peers.py
+++ b/tools/capacity/peers.py
@@ -16,10 +16,10 @@
 from dandelionlead.core import events
 from dandelionlead.entry import capacity
 from dandelionlead.entry import engine_client
-from dandelionlead.entry import gossip
+from dandelionlead.daemon import gossip
 from dandelionlead.entry import owners
-from dandelionlead.entry import peer_handler
-from dandelionlead.entry import rules
+from dandelionlead.daemon import peer_handler
+from dandelionlead.daemon import rules
 from dandelionlead.membership import freshness
 from dandelionlead.membership import members
 from dandelionlead.membership import spread
--- a/tools/capacity/streams.py
+++ b/tools/capacity/streams.py
@@ -32,9 +32,16 @@
         self.chunks = 0
         self.gaps: list[float] = []
 
-    def open(self, address: str, tokens: int) -> _Stream:
+    def open(
+        self,
+        address: str,
+        tokens: int,
+        *,
+        model: str = "quote-writer",
+        key: str = _KEY,
+    ) -> _Stream:
         """Sends one request for a stream of `tokens` tokens."""
-        stream = _Stream(address, tokens)
+        stream = _Stream(address, tokens, model, key)
         self.streams.append(stream)
         self._selector.register(stream.conn, selectors.EVENT_READ, stream)
         return stream
@@ -94,12 +101,14 @@
 class _Stream:
     __slots__ = ("conn", "events", "last_at", "head", "ended")
 
-    def __init__(self, address: str, tokens: int) -> None:
+    def __init__(
+        self, address: str, tokens: int, model: str, key: str
+    ) -> None:
         host, _, port = address.rpartition(":")
         self.conn = socket.create_connection((host, int(port)))
         body = json.dumps(
             {
-                "model": "quote-writer",
+                "model": model,
                 "messages": [{"role": "user", "content": "A cedar bucket."}],
                 "max_tokens": tokens,
                 "standin_tokens": tokens,
@@ -108,7 +117,7 @@
         )
         self.conn.sendall(
             "POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n"
-            f"Authorization: Bearer {_KEY}\r\nConnection: close\r\n"
+            f"Authorization: Bearer {key}\r\nConnection: close\r\n"
             "X-Request-Id: r\r\nX-Generation-Id: "
             f"{time.perf_counter_ns():x}\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
@@ -158,7 +167,7 @@
     with start(engines) as deploy:
         pid = pid_of(deploy, "entry-1")
         time.sleep(10.0)
-        idle = _processor_share(pid, seconds)
+        idle = processor_share(pid, seconds)
         memory = [(0, common.memory_kb(pid)["Private"])]
         rows = []
         callers = Callers()
@@ -214,7 +223,9 @@
         rows = []
         for tokens in (2, 20):
             for rate in (0.0, *rates):
-                used, done, events = _paced(deploy, pid, rate, seconds, tokens)
+                used, done, events = paced(
+                    deploy.entries["entry-1"], pid, rate, seconds, tokens
+                )
                 rows.append((tokens, rate, done / seconds, events, used * 100))
     common.show(
         f"short streamed requests through one entry, {seconds:g} s each",
@@ -230,21 +241,27 @@
         )
 
 
-def _paced(
-    deploy: deployment.Deployment,
+def paced(
+    address: str,
     pid: int,
     rate: float,
     seconds: float,
     tokens: int,
+    **fields: str,
 ) -> tuple[float, int, float]:
+    """Sends requests at a rate to an entry.
+
+    Returns:
+        Part of a core that the entry used, requests that ended whole, and
+        events a second.
+    """
     callers = Callers()
-    address = deploy.entries["entry-1"]
     before, at = common.processor_s(pid), time.monotonic()
     ends_at = at + seconds
     next_at = at
     while (now := time.monotonic()) < ends_at:
         if rate and now >= next_at:
-            callers.open(address, tokens)
+            callers.open(address, tokens, **fields)
             next_at += 1 / rate
         callers.run(min(0.2, max(0.0, next_at - now)) if rate else 0.2)
     used = (common.processor_s(pid) - before) / seconds
@@ -282,7 +299,8 @@
     )
 
 
-def _processor_share(pid: int, seconds: float) -> float:
+def processor_share(pid: int, seconds: float) -> float:
+    """Returns the part of a core that a process uses over some seconds."""
     before, at = common.processor_s(pid), time.monotonic()
     time.sleep(seconds)
     return (common.processor_s(pid) - before) / (time.monotonic() - at)
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from capacity import configuration
+from capacity import node
 from capacity import peers
 from capacity import streams
 
@@ -89,6 +90,17 @@
         runs=3,
     )
 
+    add(
+        "node",
+        "one entry at the size of the whole system",
+        node.measure,
+        members=[10, 100, 400],
+        teams=[10, 1000, 10_000],
+        endpoints=[13, 360, 3600],
+        seconds=10.0,
+    )
+    add("others", "stand-ins for members, for `node`", node.serve_others, plan="")
+
     args = parser.parse_args()
     args.run(**{name: getattr(args, name) for name in args.options})
     return 0
