--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -12,7 +12,9 @@
 from typing import Any
 
 from capacity import configuration
+from capacity import memory
 from capacity import node
+from capacity import orders
 from capacity import peers
 from capacity import streams
 
@@ -100,6 +102,28 @@
         seconds=10.0,
     )
     add("others", "stand-ins for members, for `node`", node.serve_others, plan="")
+    add(
+        "orders",
+        "orders through the group committer",
+        orders.measure,
+        sizes=[1, 10, 50],
+        runs=3,
+    )
+    add(
+        "orders-once",
+        "one run, for `orders`",
+        orders.run_once,
+        platform="",
+        size=1,
+    )
+    add(
+        "memory",
+        "an idle entry and state that grows",
+        memory.measure,
+        sizes=[1000, 4000, 8000],
+        runs=3,
+    )
+    add("grown", "one state, for `memory`", memory.grow, kind="", size=0)
 
     args = parser.parse_args()
     args.run(**{name: getattr(args, name) for name in args.options})
