wire: decode and encode messages with thrift's C module

Cause: at the design scale a node sends and answers about 144 reports and six exchanges a second; the pure Python codec took most of their processor time.

Change: FrameTransport offers the present frame to thrift's C decoder and protocol() returns the accelerated compact protocol. The bytes are the same. A message that goes beyond its frame is refused at once. The C module raises OverflowError on sizes beyond the limits, so client and server treat it like other faulty messages. Nested structs are still bounded ("Maximum recursion depth exceeded").

Ruled out: a shorter message, since most of the time was spent per field.

--- a/libs/wire/src/dandelionlead/wire/client.py
+++ b/libs/wire/src/dandelionlead/wire/client.py
@@ -5,7 +5,6 @@
 import socket
 from typing import Any
 
-from thrift import Thrift
 from thrift.transport import TTransport
 
 from dandelionlead.core import clock
@@ -72,8 +71,8 @@
         except (
             OSError,
             EOFError,
-            Thrift.TException,
             TTransport.TTransportException,
+            *framing.MESSAGE_FAULTS,
         ) as exc:
             self.close()
             raise PeerError(f"{method}: {exc}") from exc
--- a/libs/wire/src/dandelionlead/wire/framing.py
+++ b/libs/wire/src/dandelionlead/wire/framing.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import io
 import socket
 import struct
 
+from thrift import Thrift
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
@@ -12,14 +14,20 @@
 # configuration under 1 MiB.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 _LENGTH = struct.Struct("!I")
+# Messages that cannot be decoded. Thrift's C module raises OverflowError where
+# a string or container is larger than its limit.
+MESSAGE_FAULTS = (Thrift.TException, OverflowError)
 
 
-class FrameTransport(TTransport.TTransportBase):
-    """Reads and writes length-prefixed frames on a connected socket."""
+class FrameTransport(TTransport.TTransportBase, TTransport.CReadableTransport):
+    """Reads and writes length-prefixed frames on a connected socket.
+
+    Thrift's C decoder reads the present frame through `cstringio_buf`.
+    """
 
     def __init__(self, conn: socket.socket) -> None:
         self._conn = conn
-        self._frame = memoryview(b"")
+        self._frame = io.BytesIO()
         self._out: list[bytes] = []
         self.bytes_in = 0
         self.bytes_out = 0
@@ -32,12 +40,28 @@
         """Closes the socket."""
         self._conn.close()
 
+    @property
+    def cstringio_buf(self) -> io.BytesIO:
+        """What is left of the present frame."""
+        return self._frame
+
+    def cstringio_refill(self, partialread: bytes, reqlen: int) -> io.BytesIO:
+        """Refuses: a message is always in one frame.
+
+        Raises:
+            TTransportException: The frame ended inside a message.
+        """
+        raise TTransport.TTransportException(
+            TTransport.TTransportException.END_OF_FILE,
+            f"the frame ends {reqlen - len(partialread)} bytes too early",
+        )
+
     def read(self, sz: int) -> bytes:
         """Returns up to `sz` bytes of the present frame."""
-        if not self._frame:
+        data = self._frame.read(sz)
+        if not data:
             self._read_frame()
-        data = bytes(self._frame[:sz])
-        self._frame = self._frame[sz:]
+            data = self._frame.read(sz)
         return data
 
     def write(self, buf: bytes) -> None:
@@ -58,7 +82,7 @@
                 TTransport.TTransportException.SIZE_LIMIT,
                 f"frame of {length} bytes is larger than {MAX_FRAME_BYTES}",
             )
-        self._frame = memoryview(self._receive(length))
+        self._frame = io.BytesIO(self._receive(length))
         self.bytes_in += _LENGTH.size + length
 
     def _receive(self, count: int) -> bytes:
@@ -77,8 +101,12 @@
 
 
 def protocol(transport: FrameTransport) -> TCompactProtocol.TCompactProtocol:
-    """Returns the compact protocol with limits on strings and containers."""
-    return TCompactProtocol.TCompactProtocol(
+    """Returns the compact protocol with limits on strings and containers.
+
+    Structs go through thrift's C module where it is installed. The bytes are
+    the same; one report on 144 endpoints takes a fraction of the time.
+    """
+    return TCompactProtocol.TCompactProtocolAccelerated(
         transport,
         string_length_limit=MAX_FRAME_BYTES,
         container_length_limit=100_000,
--- a/libs/wire/src/dandelionlead/wire/server.py
+++ b/libs/wire/src/dandelionlead/wire/server.py
@@ -5,7 +5,6 @@
 import socket
 
 import eventlet
-from thrift import Thrift
 from thrift.transport import TTransport
 
 from dandelionlead.core import events
@@ -80,5 +79,5 @@
                 self._processor.process(proto, proto)
         except (EOFError, TTransport.TTransportException):
             return
-        except Thrift.TException as exc:
+        except framing.MESSAGE_FAULTS as exc:
             self._log.event("peer_message_refused", reason=str(exc))
--- a/tools/capacity/common.py
+++ b/tools/capacity/common.py
@@ -86,14 +86,18 @@
     widths = [max(len(row[i]) for row in table) for i in range(len(columns))]
     print(f"\n{title}", flush=True)
     for row in table:
-        cells = (text.rjust(width) for text, width in zip(row, widths))
+        cells = (
+            text.rjust(width) for text, width in zip(row, widths, strict=True)
+        )
         print("  " + "  ".join(cells), flush=True)
 
 
 def operators(*, teams: int, endpoints: int) -> model.Operators:
     """Returns a valid configuration with 14 models and 11 zones."""
     zones = [
-        model.AvailabilityZone(f"zone-{number:02}", f"region-{number % REGIONS}")
+        model.AvailabilityZone(
+            f"zone-{number:02}", f"region-{number % REGIONS}"
+        )
         for number in range(ZONES)
     ]
     models = [_model(number) for number in range(MODELS)]
--- a/tools/capacity/configuration.py
+++ b/tools/capacity/configuration.py
@@ -25,7 +25,15 @@
     rows = [_time_row(count, ends, runs) for count, ends in pairs]
     common.show(
         "time to split, join and put in force (milliseconds of processor)",
-        ("teams", "endpoints", "parts", "parts KB", "split", "join", "in force"),
+        (
+            "teams",
+            "endpoints",
+            "parts",
+            "parts KB",
+            "split",
+            "join",
+            "in force",
+        ),
         rows,
     )
     rows = [_change_row(count, ends) for count, ends in pairs]
@@ -104,7 +112,10 @@
         endpoints,
         len(content),
         size / 1e3,
-        *[common.median_range([t / 1e3 for t in us]) for us in (split, join, force)],
+        *[
+            common.median_range([t / 1e3 for t in us])
+            for us in (split, join, force)
+        ],
     )
 
 
@@ -153,9 +164,7 @@
     return keeper
 
 
-def _put_in_force(
-    keeper: rules.RulesKeeper, content: dict[str, bytes]
-) -> None:
+def _put_in_force(keeper: rules.RulesKeeper, content: dict[str, bytes]) -> None:
     keeper.learn(spread.Head(1, "apply", parts.digests(content)), 0.0)
     keeper.add_parts({parts.digest(data): data for data in content.values()})
     keeper.advance()
--- a/tools/capacity/node.py
+++ b/tools/capacity/node.py
@@ -72,7 +72,15 @@
     )
     common.show(
         "requests to the same entry",
-        ("members", "endpoints", "kind", "rate/s", "done/s", "core %", "ms each"),
+        (
+            "members",
+            "endpoints",
+            "kind",
+            "rate/s",
+            "done/s",
+            "core %",
+            "ms each",
+        ),
         answers,
     )
 
@@ -129,12 +137,18 @@
     _, listed = deploy.ask("GET", f"http://{deploy.platform}/instances")
     memory = common.memory_kb(pid)
     owned = len(deploy.state(_ENTRY)["owned_endpoints"])
-    return (*shares, out, back, len(listed), memory["Rss"], memory["Private"], owned)
+    return (
+        *shares,
+        out,
+        back,
+        len(listed),
+        memory["Rss"],
+        memory["Private"],
+        owned,
+    )
 
 
-def _request_rows(
-    deploy: deployment.Deployment, seconds: float
-) -> list[tuple]:
+def _request_rows(deploy: deployment.Deployment, seconds: float) -> list[tuple]:
     pid = streams.pid_of(deploy, _ENTRY)
     idle = streams.processor_share(pid, seconds)
     rows = []
@@ -153,9 +167,7 @@
     return rows
 
 
-def _address_rows(
-    deploy: deployment.Deployment, seconds: float
-) -> list[tuple]:
+def _address_rows(deploy: deployment.Deployment, seconds: float) -> list[tuple]:
     pid = streams.pid_of(deploy, _ENTRY)
     pool = urllib3.PoolManager(retries=False, maxsize=1, timeout=5.0)
     url = f"http://{deploy.entries[_ENTRY]}/v1/addresses"
@@ -231,9 +243,7 @@
 class _Member:
     """One other entry, as far as the measured one can see."""
 
-    def __init__(
-        self, name: str, number: int, cfg: dict, counts: dict
-    ) -> None:
+    def __init__(self, name: str, number: int, cfg: dict, counts: dict) -> None:
         self._name = name
         self._number = number
         self._cfg = cfg
@@ -265,7 +275,9 @@
     def report(self, request: ttypes.ReportRequest) -> ttypes.ReportReply:
         """Answers as the owner of endpoints with free units."""
         return ttypes.ReportReply(
-            endpoints=[self._status(item.endpoint) for item in request.endpoints]
+            endpoints=[
+                self._status(item.endpoint) for item in request.endpoints
+            ]
         )
 
     def acquire(self, request: ttypes.AcquireRequest) -> ttypes.AcquireReply:
--- a/tools/capacity/orders.py
+++ b/tools/capacity/orders.py
@@ -120,7 +120,10 @@
     names = ("rate", "transactions", "rows", "reads", "waiting", "processor")
     return (
         size,
-        *[common.median_range([item[name] for item in results]) for name in names],
+        *[
+            common.median_range([item[name] for item in results])
+            for name in names
+        ],
     )
 
 
--- a/tools/capacity/peers.py
+++ b/tools/capacity/peers.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import functools
 import time
 from typing import Any
 
+import eventlet
+
 from capacity import common
 from capacity import streams
 from dandelionlead.admission import grants
@@ -14,17 +17,19 @@
 from dandelionlead.config import parts as config_parts
 from dandelionlead.core import clock
 from dandelionlead.core import events
-from dandelionlead.entry import capacity
-from dandelionlead.entry import engine_client
 from dandelionlead.daemon import gossip
-from dandelionlead.entry import owners
 from dandelionlead.daemon import peer_handler
 from dandelionlead.daemon import rules
+from dandelionlead.entry import capacity
+from dandelionlead.entry import engine_client
+from dandelionlead.entry import owners
 from dandelionlead.membership import freshness
 from dandelionlead.membership import members
 from dandelionlead.membership import spread
 from dandelionlead.platform import api
+from dandelionlead.streams import relay
 
+_RELAYED = 2000
 _START_MS = 1_780_000_000_000
 _GENERATION_ID = "0123456789abcdef0123456789abcdef-400"
 
@@ -48,13 +53,19 @@
             self.keeper,
             self.part,
             None,
-            lambda _, method, *args: getattr(self.link.connection, method)(*args),
+            lambda _, method, *args: getattr(self.link.connection, method)(
+                *args
+            ),
             events.Log(self.name),
             lambda: None,
         )
-        content = config_parts.split(common.operators(teams=teams, endpoints=13))
+        content = config_parts.split(
+            common.operators(teams=teams, endpoints=13)
+        )
         self.head = spread.Head(1, "apply", config_parts.digests(content))
-        self.keeper.add_parts({config_parts.digest(d): d for d in content.values()})
+        self.keeper.add_parts(
+            {config_parts.digest(d): d for d in content.values()}
+        )
         self.keeper.learn(self.head, now)
         self.keeper.advance()
         self.confirm()
@@ -81,6 +92,7 @@
 class _Engines(engine_client.EngineClient):
     def load(self, address: str) -> dict[str, Any]:
         """Returns an empty load report."""
+        del address
         return {}
 
 
@@ -88,8 +100,11 @@
     """Measures one exchange, both sides together, per number of members."""
     rows = []
     for size in sizes:
-        for label, teams in (("same counts", 10), ("other counts", 10),
-                             ("head and counts", 10_000)):
+        for label, teams in (
+            ("same counts", 10),
+            ("other counts", 10),
+            ("head and counts", 10_000),
+        ):
             rows.append(_exchange_row(size, label, teams, runs))
     common.show(
         "one exchange: bytes with frame headers, processor time of both sides",
@@ -144,8 +159,8 @@
         "live entries (each ask or report)": lambda: peer.table.live(
             clock.boottime()
         ),
-        "instance list taken in (each 2 s)": lambda: (
-            peer.table.observe_listed(listed, clock.boottime())
+        "instance list taken in (each 2 s)": lambda: peer.table.observe_listed(
+            listed, clock.boottime()
         ),
         "uses() of one endpoint": lambda: peer.part.uses("engine-0001"),
         "uses() of 3,600 endpoints (each second)": lambda: [
@@ -188,7 +203,7 @@
 class _Member:
     """Member's side of grants, linked to an owner in the same process."""
 
-    def __init__(self, endpoints: int, entries: int = 1) -> None:
+    def __init__(self, endpoints: int) -> None:
         now = clock.boottime()
         self.operators = common.operators(teams=10, endpoints=endpoints)
         self.owners = owners.Owners(
@@ -206,7 +221,9 @@
         self.capacity = capacity.Capacity(
             "entry-0000",
             self.part,
-            lambda _, method, *args: getattr(self.link.connection, method)(*args),
+            lambda _, method, *args: getattr(self.link.connection, method)(
+                *args
+            ),
             lambda: ["entry-0000"],
             lambda: None,
         )
@@ -218,6 +235,7 @@
         now = clock.boottime()
         self.part.fresh(now, common_outage=True)
         self.capacity.report_once(self.names, now)
+        eventlet.sleep(0)
 
     def load(self) -> None:
         """Gives the owner a load report of each endpoint."""
@@ -251,7 +269,10 @@
         for name in self.names:
             for number in range(count):
                 self.capacity.pool.adopt(
-                    name, "engine-1780000000", f"{number:03}{_GENERATION_ID}", 400
+                    name,
+                    "engine-1780000000",
+                    f"{number:03}{_GENERATION_ID}",
+                    400,
                 )
 
 
@@ -342,7 +363,9 @@
         tick = common.processor_us(
             lambda ledger=ledger, now=now: ledger.tick(now), runs=runs
         )
-        rows.append((count, common.median_range(used), common.median_range(tick)))
+        rows.append(
+            (count, common.median_range(used), common.median_range(tick))
+        )
     common.show(
         "owner of one endpoint: ledger alone",
         ("members", "us a report", "us a tick"),
@@ -362,7 +385,9 @@
         ownership.LoadReport(
             "engine-1",
             [
-                ownership.Generation(f"{n:03}{_GENERATION_ID}", attached=True, detached_s=0.0)
+                ownership.Generation(
+                    f"{n:03}{_GENERATION_ID}", attached=True, detached_s=0.0
+                )
                 for n in range(50)
             ],
             memory_total=120_000,
@@ -380,12 +405,66 @@
     return ledger, now
 
 
+def measure_relay(sizes: list[int], runs: int) -> None:
+    """Measures relay and checks alone, by events that one read brings."""
+    rows = []
+    for size in sizes:
+        used = common.processor_us(lambda size=size: _relay(size), runs=runs)
+        each = [value / _RELAYED for value in used]
+        rows.append((size, common.median_range(each)))
+    common.show(
+        "relay and event checks without sockets",
+        ("events/read", "us/event"),
+        rows,
+    )
+
+
+class _Reads(relay.Reader):
+    def __init__(self, reads: list[bytes]) -> None:
+        self._reads = iter(reads)
+
+    def read(self) -> bytes:
+        return next(self._reads)
+
+    def close(self) -> None:
+        return
+
+
+class _NoSource(relay.Source):
+    def attach(self, after: int) -> relay.Reader:
+        raise NotImplementedError
+
+
+def _relay(size: int) -> None:
+    found = relay.Relay(_GENERATION_ID, _NoSource())
+    for _ in found.chunks(_Reads(_reads(size))):
+        pass
+    if not found.finished:
+        raise RuntimeError(f"the relay stopped: {found.faults}")
+
+
+@functools.cache
+def _reads(size: int) -> list[bytes]:
+    text = '{"choices":[{"index":0,"delta":{"content":"0123abcd.77 "}}]}'
+    events = [
+        f"id: {_GENERATION_ID}:{number}\ndata: {text}\n\n"
+        for number in range(1, _RELAYED)
+    ]
+    events.append(f"id: {_GENERATION_ID}:{_RELAYED}\ndata: [DONE]\n\n")
+    return [
+        "".join(events[start : start + size]).encode()
+        for start in range(0, _RELAYED, size)
+    ]
+
+
 def measure_load_read(sizes: list[int], runs: int) -> None:
     """Measures how an owner reads the load of an engine stand-in."""
     rows = []
     with streams.start(1) as deploy:
         item = deploy.operators["endpoints"]["quotation-1"]
-        endpoint = common.operators(teams=1, endpoints=1).endpoints["engine-0000"]
+        endpoint = common.operators(teams=1, endpoints=1).endpoints[
+            "engine-0000"
+        ]
         endpoint.address = item["address"]
         callers = streams.Callers()
         engines = engine_client.EngineClient()
--- a/tools/capacity/streams.py
+++ b/tools/capacity/streams.py
@@ -101,9 +101,7 @@
 class _Stream:
     __slots__ = ("conn", "events", "last_at", "head", "ended")
 
-    def __init__(
-        self, address: str, tokens: int, model: str, key: str
-    ) -> None:
+    def __init__(self, address: str, tokens: int, model: str, key: str) -> None:
         host, _, port = address.rpartition(":")
         self.conn = socket.create_connection((host, int(port)))
         body = json.dumps(
@@ -177,7 +175,9 @@
             targets = [item["address"] for item in endpoints]
         for size in sizes:
             while len(callers.streams) < size:
-                callers.open(targets[len(callers.streams) % len(targets)], _LONGEST)
+                callers.open(
+                    targets[len(callers.streams) % len(targets)], _LONGEST
+                )
                 callers.run(0.02)
             callers.run_until_all_started()
             callers.run(_SETTLE_S)
@@ -192,7 +192,8 @@
     common.show(
         f"{'engines alone' if direct else 'one entry'}, {engines} engines, "
         f"token every {_TOKEN_S * 1e3:g} ms, {seconds:g} s each; "
-        f"entry without streams {idle:.2%} of a core, {memory[0][1]} KB private",
+        f"entry without streams {idle:.2%} of a core, "
+        f"{memory[0][1]} KB private",
         (
             "streams",
             "events/s",
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -63,6 +63,13 @@
         generations=[0, 3, 10],
         runs=3,
     )
+    add(
+        "relay",
+        "relay and checks of events, without sockets",
+        peers.measure_relay,
+        sizes=[1, 4, 16],
+        runs=3,
+    )
     add(
         "load-read",
         "the owner's reads of an engine's load",
@@ -101,7 +108,12 @@
         endpoints=[13, 360, 3600],
         seconds=10.0,
     )
-    add("others", "stand-ins for members, for `node`", node.serve_others, plan="")
+    add(
+        "others",
+        "stand-ins for members, for `node`",
+        node.serve_others,
+        plan="",
+    )
     add(
         "orders",
         "orders through the group committer",
