--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -16,6 +16,7 @@
 from capacity import node
 from capacity import orders
 from capacity import peers
+from capacity import rollout
 from capacity import streams
 
 
@@ -114,6 +115,14 @@
         node.serve_others,
         plan="",
     )
+    add(
+        "rollout",
+        "counters of versions and their judges",
+        rollout.measure,
+        sizes=[10, 100, 400],
+        models=[1, 14],
+        runs=3,
+    )
     add(
         "orders",
         "orders through the group committer",
