--- a/tools/capacity/streams.py
+++ b/tools/capacity/streams.py
@@ -172,7 +172,11 @@
         targets = [deploy.entries["entry-1"]]
         if direct:
             endpoints = deploy.operators["endpoints"].values()
-            targets = [item["address"] for item in endpoints]
+            targets = [
+                item["address"]
+                for item in endpoints
+                if item["kind"] == "engine"
+            ]
         for size in sizes:
             while len(callers.streams) < size:
                 callers.open(
