--- a/libs/entry/src/dandelionlead/entry/node.py
+++ b/libs/entry/src/dandelionlead/entry/node.py
@@ -100,7 +100,10 @@
             log,
             self._capacity.saw_incarnation,
         )
-        self._placement = placement.Placement(self._capacity)
+        self._placement = placement.Placement(
+            self._capacity, lambda: len(self._live_entries())
+        )
+        self._capacity.reserved = self._placement.reserved
         self._rollouts = rollouts.Rollouts(cfg.name, incarnation, log)
         self._view = routing_view.RoutingView(
             cfg.availability_zone,
@@ -267,6 +270,8 @@
         self._leaving = True
         self._table.leave(clock.boottime())
         self._log.event("leaving", reason="signal")
+        # A list that a peer gives out before it knows counts from then on.
+        self._gossip.tell_all()
         eventlet.sleep(self._cfg.address_max_age_s + LEAVE_MARGIN_S)
         # The server closes idle connections when its thread ends; open ones
         # are served to their end.
