Retry elsewhere first, keep groups by member, send small writes at once

Cause: (1) after a killed engine both retries went to the same dead engine when the other had no units just then, and the budget was gone; a restarted engine kept its ejection. (2) At 400 members and 3,600 endpoints ranking the members for each endpoint each second took 1.3 s of processor time (docs/CAPACITY.md). (3) A small write to a caller waited up to 40 ms for an acknowledgement.

--- a/libs/admission/src/dandelionlead/admission/parts.py
+++ b/libs/admission/src/dandelionlead/admission/parts.py
@@ -33,7 +33,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-from dandelionlead.core import hashing
+from dandelionlead.admission import groups
 
 # Members that use one endpoint. It bounds the reports per owner at 400 nodes:
 # 3,600 endpoints x 16 / 400 gives 144 reports a second for each entry.
@@ -80,6 +80,11 @@
         self._settled = False
         # Counted peers by name: incarnation and time of the last direct word.
         self._incarnations: dict[str, int] = {}
+        # Part that is carried, and the time for which it was worked out.
+        self._carried = 0.0
+        self._evaluated_at = _NEVER
+        self._groups = groups.Groups(GROUP)
+        self._groups.add(member)
         self._heard_at: dict[str, float] = {}
         self._acked_at: dict[str, float] = {}
         self._acked_since: dict[str, float] = {}
@@ -107,6 +112,7 @@
             counts_me: Whether that includes this member's incarnation.
             now: Time of the receipt.
         """
+        self._evaluated_at = _NEVER
         for name, incarnation in counts.items():
             self._learn(name, incarnation, now)
         if peer in self._heard_at:
@@ -122,6 +128,7 @@
             names: The entries that the list shows.
             asked_at: Time immediately before the read was sent.
         """
+        self._evaluated_at = _NEVER
         self._lapse(asked_at)
         self._read_at = max(self._read_at, asked_at)
         for name in names:
@@ -136,6 +143,7 @@
 
     def fresh(self, now: float, *, common_outage: bool) -> None:
         """Notes that this process's rules are fresh (design page, 5.5)."""
+        self._evaluated_at = _NEVER
         self._lapse(now)
         self._fresh_at = now
         self._common_outage = common_outage
@@ -144,6 +152,7 @@
 
     def left(self, peer: str) -> None:
         """Forgets a peer that said it has ended all work and delegations."""
+        self._evaluated_at = _NEVER
         self._forget(peer)
 
     def counted(self, now: float) -> dict[str, int]:
@@ -155,13 +164,11 @@
 
     def part(self, endpoint: str, now: float) -> float:
         """Returns the part of an endpoint's limit that this member carries."""
-        peers = self.counted(now)
-        self._lapse(now)
-        if self._keeps(now) and self._joins(peers, now):
-            self._settled = True
-        if not self._settled or not self.uses(endpoint):
-            return 0.0
-        return 1.0 / min(GROUP, len(peers) + 1)
+        if now != self._evaluated_at:
+            # Alike for all endpoints, and asked for each of them at one time.
+            self._carried = self._evaluate(now)
+            self._evaluated_at = now
+        return self._carried if self.uses(endpoint) else 0.0
 
     def uses(self, endpoint: str) -> bool:
         """Returns whether this member is in the group of an endpoint."""
@@ -174,8 +181,16 @@
         carrier's rank among the carriers is at most its rank in its own view,
         and at most `GROUP` members carry a part of one endpoint.
         """
-        members = [*self._incarnations, self._member]
-        return hashing.rank(endpoint, members)[:GROUP]
+        return self._groups.get(endpoint)
+
+    def _evaluate(self, now: float) -> float:
+        peers = self.counted(now)
+        self._lapse(now)
+        if self._keeps(now) and self._joins(peers, now):
+            self._settled = True
+        if not self._settled:
+            return 0.0
+        return 1.0 / min(GROUP, len(peers) + 1)
 
     def _lapse(self, now: float) -> None:
         """Notes a gap in freshness or in reads of the list.
@@ -215,6 +230,7 @@
             self._acked_at.pop(name, None)
             self._acked_since.pop(name, None)
         self._incarnations[name] = max(known, incarnation)
+        self._groups.add(name)
 
     def _is_gone(self, name: str, now: float) -> bool:
         if now - self._heard_at[name] <= UNLISTED_S:
@@ -226,6 +242,7 @@
 
     def _forget(self, name: str) -> None:
         incarnation = self._incarnations.pop(name, None)
+        self._groups.remove(name)
         if incarnation is not None:
             self._gone[name] = incarnation
         self._heard_at.pop(name, None)
--- a/libs/daemon/src/dandelionlead/daemon/gossip.py
+++ b/libs/daemon/src/dandelionlead/daemon/gossip.py
@@ -126,6 +126,18 @@
             left_s = now + EXCHANGE_PERIOD_S - clock.boottime()
             eventlet.sleep(max(0.0, left_s))
 
+    def tell_all(self) -> None:
+        """Exchanges with all live members now; waits at most a call's time.
+
+        Random exchanges take several seconds to reach all of 400 members.
+        """
+        pool = eventlet.GreenPool(_TELL_AT_ONCE)
+        for target in self._table.live(clock.boottime()):
+            if target.name != self._own_name:
+                pool.spawn_n(self._exchange, target)
+        with eventlet.Timeout(members.EXCHANGE_DEADLINE_S, False):
+            pool.waitall()
+
     def poll_head(self) -> None:
         """Reads the version row, the other watched rows, and a new head."""
         sent_at = clock.boottime()
--- a/libs/daemon/src/dandelionlead/daemon/startup.py
+++ b/libs/daemon/src/dandelionlead/daemon/startup.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 from typing import TYPE_CHECKING
 
@@ -39,10 +40,14 @@
 def listen(address: str) -> eventlet.greenio.GreenSocket:
     """Returns a listener on `ip:port`."""
     host, _, port = address.rpartition(":")
-    # Without this, eventlet lets two processes listen on one port.
-    return eventlet.listen(
+    # Without reuse_port, eventlet lets two processes listen on one port.
+    listener = eventlet.listen(
         (host, int(port)), backlog=_BACKLOG, reuse_port=False
     )
+    # Accepted connections inherit this; otherwise a small write waits up to
+    # 40 ms for the acknowledgement of the one before.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
 
 
 def address_of(listener: eventlet.greenio.GreenSocket) -> str:
--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -57,6 +57,7 @@
         deadline: Time on the same clock by which it must be dispatched.
         fingerprint: Identity of model and prompt.
         tried: Endpoints on which it has failed.
+        failed_at: Time of the last failure.
     """
 
     __slots__ = (
@@ -70,6 +71,7 @@
         "deadline",
         "fingerprint",
         "tried",
+        "failed_at",
     )
 
     def __init__(
@@ -95,6 +97,7 @@
         self.deadline = deadline
         self.fingerprint = fingerprint
         self.tried: set[str] = set()
+        self.failed_at = 0.0
 
 
 class Stream:
@@ -474,6 +477,7 @@
         owner, call = self._owner, self._call
         name = self._endpoint.name
         call.tried.add(name)
+        call.failed_at = clock.boottime()
         owner._capacity.note_failed(name)
         owner._results.failed(call, self._endpoint, self._version, failure)
         incarnation = self._placed.lease.incarnation
--- a/libs/entry/src/dandelionlead/entry/routing_view.py
+++ b/libs/entry/src/dandelionlead/entry/routing_view.py
@@ -34,6 +34,8 @@
 # to the old one. Without the wait, requests of a small share never found units
 # (grants expire unused between them), and the version got no requests at all.
 FALLBACK_S = 0.5
+# A request that failed waits so long for another endpoint before it goes back.
+REPEAT_S = 3.0
 # A request that failed this long before a crash was seen may have caused it.
 _FAILED_BEFORE_S = 3.0
 # Failures that may come from the death of the endpoint.
@@ -82,6 +84,7 @@
         self._ramps: dict[str, choice.ZoneRamp] = {}
         self._closed: set[str] = set()
         self._probes: set[str] = set()
+        self._incarnations: dict[str, str] = {}
         # Fingerprints by attempt, for each endpoint.
         self._running: dict[str, dict[str, str]] = {}
         # Attempts that failed lately: time and fingerprint, by endpoint.
@@ -114,7 +117,7 @@
             return self._for_suspect(call, found)
         seen = self._seen(call, found)
         ranked = self._for_versions(call, seen, frozenset(call.tried))
-        if not ranked and call.tried:
+        if not ranked and self._may_repeat(call, found):
             ranked = self._for_versions(call, seen, frozenset())
         return [
             found[name]
@@ -281,6 +284,18 @@
             ],
         }
 
+    def _may_repeat(
+        self, call: generation.Call, found: dict[str, model.Endpoint]
+    ) -> bool:
+        """Whether a call may go to an endpoint where it has failed.
+
+        While there are others, it waits for these first: two retries at the
+        endpoint that had just died used up the budget.
+        """
+        if all(name in call.tried for name in found):
+            return True
+        return clock.boottime() >= call.failed_at + REPEAT_S
+
     def _for_versions(
         self,
         call: generation.Call,
@@ -319,6 +334,7 @@
         pool = self._capacity.pool
         seen = []
         for name, item in found.items():
+            self._watch_restart(name)
             # Units that are here can be used at once; those at the owner
             # after one round trip.
             unused = pool.unused(name, now)
@@ -338,6 +354,15 @@
             )
         return seen
 
+    def _watch_restart(self, name: str) -> None:
+        """Forgets the past of an endpoint that has a new incarnation."""
+        incarnation = self._capacity.pool.incarnation(name)
+        if not incarnation:
+            return
+        if self._incarnations.get(name, incarnation) != incarnation:
+            self._health.restarted(name)
+        self._incarnations[name] = incarnation
+
     def _ranked(
         self, wanted: choice.Request, seen: Iterable[choice.Candidate]
     ) -> list[str]:
@@ -361,7 +386,9 @@
         ]
         # The first in rank may be the endpoint that has just died.
         untried = [name for name in usable if name not in call.tried]
-        return [found[name] for name in untried or usable]
+        if untried or not self._may_repeat(call, found):
+            return [found[name] for name in untried]
+        return [found[name] for name in usable]
 
     def _may_run(self, fingerprint: str, endpoint: str) -> bool:
         running = set(self._running.get(endpoint, {}).values())
