--- a/libs/entry/src/dandelionlead/entry/app.py
+++ b/libs/entry/src/dandelionlead/entry/app.py
@@ -17,6 +17,7 @@
 from dandelionlead.entry import http_input
 from dandelionlead.entry import problems
 from dandelionlead.entry import services
+from dandelionlead.entry import whole_answer
 from dandelionlead.routing import suspects
 
 if TYPE_CHECKING:
@@ -214,7 +215,7 @@
         chunks = self._held_by_team(stream.chunks, team)
         if call.wanted.stream:
             return _event_stream(stream, chunks, req.request_id)
-        answer = generation.whole_answer(b"".join(chunks), call)
+        answer = whole_answer.build(b"".join(chunks), call)
         return _json(200, answer, req.request_id)
 
     def _held_by_team(
--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -528,47 +528,6 @@
     return Stream(stream.generation_id, stream.resume_token, iter([data]))
 
 
-def whole_answer(data: bytes, call: Call) -> dict[str, Any]:
-    """Returns the answer of a request without streaming from its events.
-
-    Args:
-        data: All events of the generation, the last one included.
-        call: The request.
-    """
-    chat = call.path.endswith("/chat/completions")
-    texts = []
-    finish_reason = "stop"
-    count = 0
-    for line in data.split(b"\n"):
-        if not line.startswith(b"data: ") or line == b"data: [DONE]":
-            continue
-        choice = json.loads(line[6:])["choices"][0]
-        part = choice["delta"].get("content") if chat else choice.get("text")
-        if part:
-            texts.append(part)
-            count += 1
-        finish_reason = choice.get("finish_reason") or finish_reason
-    text = "".join(texts)
-    choice = {"index": 0, "finish_reason": finish_reason}
-    if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    prompt_tokens = call.wanted.prompt_tokens
-    return {
-        "id": call.request_id,
-        "object": "chat.completion" if chat else "text_completion",
-        "created": int(clock.unix_time()),
-        "model": call.wanted.model,
-        "choices": [choice],
-        "usage": {
-            "prompt_tokens": prompt_tokens,
-            "completion_tokens": count,
-            "total_tokens": prompt_tokens + count,
-        },
-    }
-
-
 def _never_ran(failure: errors.Failure) -> bool:
     return failure.kind in (
         errors.Kind.ENDPOINT_UNREACHABLE,
--- a/libs/entry/src/dandelionlead/entry/node.py
+++ b/libs/entry/src/dandelionlead/entry/node.py
@@ -48,6 +48,7 @@
 # Between two looks at the evidence on new versions.
 LOOK_PERIOD_S = 1.0
 _DRAIN_POLL_S = 0.1
+_READY_PERIOD_S = 0.2
 # Streams that are handed over end with their next events.
 _HAND_OVER_S = 3.0
 
@@ -252,9 +253,12 @@
 
     def _watch_ready(self) -> None:
         while True:
-            ready = self._ready_failure() is None
-            self._table.set_ready(ready, clock.boottime())
-            eventlet.sleep(0.2)
+            self._announce_ready()
+            eventlet.sleep(_READY_PERIOD_S)
+
+    def _announce_ready(self) -> None:
+        ready = self._ready_failure() is None
+        self._table.set_ready(ready, clock.boottime())
 
     def _judge_versions(self) -> None:
         while True:
@@ -333,6 +337,8 @@
         return self._refusal()
 
     def _addresses(self) -> dict[str, Any]:
+        # An entry that has just become ready names itself at once.
+        self._announce_ready()
         found = [
             {
                 "address": item.http_address,
