Count a peer's word only if it cannot be older than a pause

The trace of grants shows parts that sum to 1.2: a member woke from a freeze of 40 s in a platform outage, read words of its peers that had waited in its inbox since before, and joined on them 3.5 s later, while the peers had long stopped to count it and carried the whole themselves. Change: a gap in freshness voids all words so far, and the daemon takes a word only from answers to its own exchanges that took at most their deadline; a request may have waited in a socket for any time.

--- a/libs/admission/src/dandelionlead/admission/parts.py
+++ b/libs/admission/src/dandelionlead/admission/parts.py
@@ -200,6 +200,11 @@
         """
         if not self._keeps(now):
             self._settled = False
+        if self._fresh_at != _NEVER and now - self._fresh_at > FRESH_S:
+            # Words that were read just now may have waited since before the
+            # gap, in which the peers may have stopped to count this member.
+            self._acked_at.clear()
+            self._acked_since.clear()
 
     def _keeps(self, now: float) -> bool:
         if now < self._carries_from or now - self._fresh_at > FRESH_S:
--- a/libs/daemon/src/dandelionlead/daemon/gossip.py
+++ b/libs/daemon/src/dandelionlead/daemon/gossip.py
@@ -187,7 +187,7 @@
         The peer's freshness is not taken in here: its request may have waited
         in a socket for any time.
         """
-        self._take_in(message)
+        self._take_in(message, recent=False)
         limit = self._table.message_limit(message.sender)
         return self._message(message.sender, limit, answering=True)
 
@@ -214,7 +214,8 @@
             self._table.exchange_failed(target.name, now, refused=refused)
             return
         self._table.heard_from(target.name, now)
-        self._take_in(reply)
+        recent = now - sent_at <= members.EXCHANGE_DEADLINE_S
+        self._take_in(reply, recent=recent)
         report = reply.freshness
         self._fresh.peer_report(
             target.name,
@@ -225,13 +226,13 @@
             vouchers=report.vouchers or b"",
         )
 
-    def _take_in(self, message: ttypes.Gossip) -> None:
+    def _take_in(self, message: ttypes.Gossip, *, recent: bool) -> None:
         now = clock.boottime()
         states = [
             convert.member_from_wire(item) for item in message.members or []
         ]
         self._table.merge(states, now)
-        self._take_counts(message, now)
+        self._take_counts(message, now, recent=recent)
         if message.freshness is not None:
             known = message.freshness.head_version or 0
             self._peer_versions[message.sender] = known
@@ -244,7 +245,9 @@
         for extension in self.extensions:
             extension.read(message)
 
-    def _take_counts(self, message: ttypes.Gossip, now: float) -> None:
+    def _take_counts(
+        self, message: ttypes.Gossip, now: float, *, recent: bool
+    ) -> None:
         self._peer_digests[message.sender] = message.counts_digest or ""
         counts = message.counts
         if counts is None:
@@ -253,7 +256,9 @@
                 return
             counts = mine
         own = self._table.own
-        counts_me = counts.get(own.name) == own.incarnation
+        # Only a recent word binds the peer: a request may have waited since
+        # before a pause of this process.
+        counts_me = recent and counts.get(own.name) == own.incarnation
         self._part.heard(message.sender, counts, counts_me, now)
 
     def _message(
