--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -156,10 +156,9 @@
     import hypothesis
 
     seed = os.environ.get("DANDELION_FUZZ_SEED")
-    examples = int(os.environ.get("DANDELION_FUZZ_EXAMPLES", _DEFAULT_EXAMPLES))
     hypothesis.settings.register_profile(
         "project",
-        max_examples=examples,
+        max_examples=_examples(),
         deadline=None,
         database=None,
         derandomize=seed is None,
