Remove what nothing uses, name the last event once

Cause: reading the whole change again showed two limits of input that no code applied, a state name without a use, two fields and a struct of the peer messages that no process fills or reads, and the end of a stream spelled out in two modules. Change: these are removed, the generated code is made anew, and the collection of whole answers uses checks.LAST_EVENT_END. Behaviour is as before. Ruled out: sharing the code of the abstract limits' signatures and of thrift's generated code (alike in shape only).

--- a/libs/entry/src/dandelionlead/entry/generation.py
+++ b/libs/entry/src/dandelionlead/entry/generation.py
@@ -18,6 +18,7 @@
 from dandelionlead.core import errors
 from dandelionlead.entry import placement
 from dandelionlead.entry import problems
+from dandelionlead.streams import checks
 from dandelionlead.streams import relay
 from dandelionlead.streams import tokens
 
@@ -520,7 +521,7 @@
 def _collected(stream: Stream) -> Stream | errors.Failure:
     """Returns the stream with all its events, or why it has no end."""
     data = b"".join(stream.chunks)
-    if not data.endswith(b"data: [DONE]\n\n"):
+    if not data.endswith(checks.LAST_EVENT_END):
         return errors.Failure(
             errors.Kind.GENERATION_LOST,
             "the endpoint lost the generation before its end",
--- a/libs/entry/src/dandelionlead/entry/http_input.py
+++ b/libs/entry/src/dandelionlead/entry/http_input.py
@@ -15,9 +15,7 @@
 
 # A body at the size limit over a slow mobile link still arrives in this time.
 BODY_TIMEOUT_S = 10.0
-MAX_REQUEST_ID_CHARS = 64
 MAX_KEY_CHARS = 128
-MAX_JSON_DEPTH = 32
 _REQUEST_ID = re.compile(r"[A-Za-z0-9_.:-]{1,64}")
 _VISIBLE = re.compile(r"[\x21-\x7e]+")
 
--- a/libs/steward/src/dandelionlead/steward/driver.py
+++ b/libs/steward/src/dandelionlead/steward/driver.py
@@ -12,8 +12,6 @@
 if TYPE_CHECKING:
     from dandelionlead.config import model
 
-UNDER_WAY = "under_way"
-
 
 class Evidence:
     """What is known of a next version now.
--- a/libs/streams/src/dandelionlead/streams/checks.py
+++ b/libs/streams/src/dandelionlead/streams/checks.py
@@ -7,7 +7,7 @@
 # Larger than any event of a few tokens; bounds the memory of one stream.
 MAX_EVENT_BYTES = 64 * 1024
 EVENT_END = b"\n\n"
-_LAST_EVENT_END = b"data: [DONE]\n\n"
+LAST_EVENT_END = b"data: [DONE]\n\n"
 
 
 class Checked:
@@ -63,7 +63,7 @@
         ):
             return self._good_prefix(block)
         self.position += len(found)
-        self.finished = block.endswith(_LAST_EVENT_END)
+        self.finished = block.endswith(LAST_EVENT_END)
         if len(self._held) > MAX_EVENT_BYTES:
             return Checked(block, "an event is too large", self.finished)
         return Checked(block, "", self.finished)
@@ -87,7 +87,7 @@
                 break
             at = match.end()
             self.position += 1
-            if match.group(0).endswith(_LAST_EVENT_END):
+            if match.group(0).endswith(LAST_EVENT_END):
                 self.finished = True
                 return Checked(block[:at], "", True)
         else:
--- a/libs/wire/peer.thrift
+++ b/libs/wire/peer.thrift
@@ -69,20 +69,10 @@
   5: list<VersionEvidence> evidence
   6: list<VersionVerdict> verdicts
   7: list<Suspect> suspects
-  8: double now_s  // clock of the sender, for its own use in the answer
   // Entries that the sender counts, by incarnation; left out when the receiver
   // last sent the same digest.
   9: string counts_digest
   10: optional map<string, i64> counts
-  11: optional list<EndpointNews> endpoints
-}
-
-// What a process saw of an endpoint that its other users should know.
-struct EndpointNews {
-  1: string endpoint
-  2: string incarnation
-  3: bool leaving
-  4: double age_s
 }
 
 // Asks the owner of an endpoint for units of engine memory (tokens).
--- a/libs/wire/src/dandelionlead/wire/gen/Peer.py
+++ b/libs/wire/src/dandelionlead/wire/gen/Peer.py
@@ -962,10 +962,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.digests = []
-                    (_etype105, _size102) = iprot.readListBegin()
-                    for _i106 in range(_size102):
-                        _elem107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digests.append(_elem107)
+                    (_etype98, _size95) = iprot.readListBegin()
+                    for _i99 in range(_size95):
+                        _elem100 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digests.append(_elem100)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -982,8 +982,8 @@
         if self.digests is not None:
             oprot.writeFieldBegin('digests', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.digests))
-            for iter108 in self.digests:
-                oprot.writeString(iter108.encode('utf-8') if sys.version_info[0] == 2 else iter108)
+            for iter101 in self.digests:
+                oprot.writeString(iter101.encode('utf-8') if sys.version_info[0] == 2 else iter101)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1043,11 +1043,11 @@
             if fid == 0:
                 if ftype == TType.MAP:
                     self.success = {}
-                    (_ktype110, _vtype111, _size109) = iprot.readMapBegin()
-                    for _i113 in range(_size109):
-                        _key114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val115 = iprot.readBinary()
-                        self.success[_key114] = _val115
+                    (_ktype103, _vtype104, _size102) = iprot.readMapBegin()
+                    for _i106 in range(_size102):
+                        _key107 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val108 = iprot.readBinary()
+                        self.success[_key107] = _val108
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1064,9 +1064,9 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.MAP, 0)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.success))
-            for kiter116, viter117 in self.success.items():
-                oprot.writeString(kiter116.encode('utf-8') if sys.version_info[0] == 2 else kiter116)
-                oprot.writeBinary(viter117)
+            for kiter109, viter110 in self.success.items():
+                oprot.writeString(kiter109.encode('utf-8') if sys.version_info[0] == 2 else kiter109)
+                oprot.writeBinary(viter110)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1470,11 +1470,11 @@
             if fid == 0:
                 if ftype == TType.LIST:
                     self.success = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = TraceEvent()
-                        _elem123.read(iprot)
-                        self.success.append(_elem123)
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = TraceEvent()
+                        _elem116.read(iprot)
+                        self.success.append(_elem116)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1491,8 +1491,8 @@
         if self.success is not None:
             oprot.writeFieldBegin('success', TType.LIST, 0)
             oprot.writeListBegin(TType.STRUCT, len(self.success))
-            for iter124 in self.success:
-                iter124.write(oprot)
+            for iter117 in self.success:
+                iter117.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
--- a/libs/wire/src/dandelionlead/wire/gen/ttypes.py
+++ b/libs/wire/src/dandelionlead/wire/gen/ttypes.py
@@ -768,10 +768,8 @@
      - evidence
      - verdicts
      - suspects
-     - now_s
      - counts_digest
      - counts
-     - endpoints
 
     """
 
@@ -783,14 +781,12 @@
         'evidence',
         'verdicts',
         'suspects',
-        'now_s',
         'counts_digest',
         'counts',
-        'endpoints',
     )
 
 
-    def __init__(self, sender=None, members=None, head=None, freshness=None, evidence=None, verdicts=None, suspects=None, now_s=None, counts_digest=None, counts=None, endpoints=None,):
+    def __init__(self, sender=None, members=None, head=None, freshness=None, evidence=None, verdicts=None, suspects=None, counts_digest=None, counts=None,):
         self.sender = sender
         self.members = members
         self.head = head
@@ -798,10 +794,8 @@
         self.evidence = evidence
         self.verdicts = verdicts
         self.suspects = suspects
-        self.now_s = now_s
         self.counts_digest = counts_digest
         self.counts = counts
-        self.endpoints = endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -873,11 +867,6 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.DOUBLE:
-                    self.now_s = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
             elif fid == 9:
                 if ftype == TType.STRING:
                     self.counts_digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
@@ -894,17 +883,6 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 11:
-                if ftype == TType.LIST:
-                    self.endpoints = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = EndpointNews()
-                        _elem66.read(iprot)
-                        self.endpoints.append(_elem66)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -922,8 +900,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter67 in self.members:
-                iter67.write(oprot)
+            for iter61 in self.members:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.head is not None:
@@ -937,28 +915,24 @@
         if self.evidence is not None:
             oprot.writeFieldBegin('evidence', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.evidence))
-            for iter68 in self.evidence:
-                iter68.write(oprot)
+            for iter62 in self.evidence:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter69 in self.verdicts:
-                iter69.write(oprot)
+            for iter63 in self.verdicts:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter70 in self.suspects:
-                iter70.write(oprot)
+            for iter64 in self.suspects:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.now_s is not None:
-            oprot.writeFieldBegin('now_s', TType.DOUBLE, 8)
-            oprot.writeDouble(self.now_s)
-            oprot.writeFieldEnd()
         if self.counts_digest is not None:
             oprot.writeFieldBegin('counts_digest', TType.STRING, 9)
             oprot.writeString(self.counts_digest.encode('utf-8') if sys.version_info[0] == 2 else self.counts_digest)
@@ -966,122 +940,11 @@
         if self.counts is not None:
             oprot.writeFieldBegin('counts', TType.MAP, 10)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.counts))
-            for kiter71, viter72 in self.counts.items():
-                oprot.writeString(kiter71.encode('utf-8') if sys.version_info[0] == 2 else kiter71)
-                oprot.writeI64(viter72)
+            for kiter65, viter66 in self.counts.items():
+                oprot.writeString(kiter65.encode('utf-8') if sys.version_info[0] == 2 else kiter65)
+                oprot.writeI64(viter66)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
-        if self.endpoints is not None:
-            oprot.writeFieldBegin('endpoints', TType.LIST, 11)
-            oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter73 in self.endpoints:
-                iter73.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        oprot.writeFieldStop()
-        oprot.writeStructEnd()
-
-    def validate(self):
-        return
-
-    def __repr__(self):
-        L = ['%s=%r' % (key, getattr(self, key))
-             for key in self.__slots__]
-        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
-
-    def __eq__(self, other):
-        if not isinstance(other, self.__class__):
-            return False
-        for attr in self.__slots__:
-            my_val = getattr(self, attr)
-            other_val = getattr(other, attr)
-            if my_val != other_val:
-                return False
-        return True
-
-    def __ne__(self, other):
-        return not (self == other)
-
-
-class EndpointNews(object):
-    """
-    Attributes:
-     - endpoint
-     - incarnation
-     - leaving
-     - age_s
-
-    """
-
-    __slots__ = (
-        'endpoint',
-        'incarnation',
-        'leaving',
-        'age_s',
-    )
-
-
-    def __init__(self, endpoint=None, incarnation=None, leaving=None, age_s=None,):
-        self.endpoint = endpoint
-        self.incarnation = incarnation
-        self.leaving = leaving
-        self.age_s = age_s
-
-    def read(self, iprot):
-        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
-            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
-            return
-        iprot.readStructBegin()
-        while True:
-            (fname, ftype, fid) = iprot.readFieldBegin()
-            if ftype == TType.STOP:
-                break
-            if fid == 1:
-                if ftype == TType.STRING:
-                    self.endpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.leaving = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.DOUBLE:
-                    self.age_s = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            else:
-                iprot.skip(ftype)
-            iprot.readFieldEnd()
-        iprot.readStructEnd()
-
-    def write(self, oprot):
-        if oprot._fast_encode is not None and self.thrift_spec is not None:
-            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
-            return
-        oprot.writeStructBegin('EndpointNews')
-        if self.endpoint is not None:
-            oprot.writeFieldBegin('endpoint', TType.STRING, 1)
-            oprot.writeString(self.endpoint.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint)
-            oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
-            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
-            oprot.writeFieldEnd()
-        if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.BOOL, 3)
-            oprot.writeBool(self.leaving)
-            oprot.writeFieldEnd()
-        if self.age_s is not None:
-            oprot.writeFieldBegin('age_s', TType.DOUBLE, 4)
-            oprot.writeDouble(self.age_s)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1710,20 +1573,20 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.generations = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.generations.append(_elem79)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.generations.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.first_token_s = []
-                    (_etype83, _size80) = iprot.readListBegin()
-                    for _i84 in range(_size80):
-                        _elem85 = iprot.readDouble()
-                        self.first_token_s.append(_elem85)
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = iprot.readDouble()
+                        self.first_token_s.append(_elem78)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1781,15 +1644,15 @@
         if self.generations is not None:
             oprot.writeFieldBegin('generations', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.generations))
-            for iter86 in self.generations:
-                oprot.writeString(iter86.encode('utf-8') if sys.version_info[0] == 2 else iter86)
+            for iter79 in self.generations:
+                oprot.writeString(iter79.encode('utf-8') if sys.version_info[0] == 2 else iter79)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.first_token_s is not None:
             oprot.writeFieldBegin('first_token_s', TType.LIST, 6)
             oprot.writeListBegin(TType.DOUBLE, len(self.first_token_s))
-            for iter87 in self.first_token_s:
-                oprot.writeDouble(iter87)
+            for iter80 in self.first_token_s:
+                oprot.writeDouble(iter80)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.failed is not None:
@@ -1872,11 +1735,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype91, _size88) = iprot.readListBegin()
-                    for _i92 in range(_size88):
-                        _elem93 = EndpointReport()
-                        _elem93.read(iprot)
-                        self.endpoints.append(_elem93)
+                    (_etype84, _size81) = iprot.readListBegin()
+                    for _i85 in range(_size81):
+                        _elem86 = EndpointReport()
+                        _elem86.read(iprot)
+                        self.endpoints.append(_elem86)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1897,8 +1760,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter94 in self.endpoints:
-                iter94.write(oprot)
+            for iter87 in self.endpoints:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1953,11 +1816,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.endpoints = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = EndpointStatus()
-                        _elem100.read(iprot)
-                        self.endpoints.append(_elem100)
+                    (_etype91, _size88) = iprot.readListBegin()
+                    for _i92 in range(_size88):
+                        _elem93 = EndpointStatus()
+                        _elem93.read(iprot)
+                        self.endpoints.append(_elem93)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1974,8 +1837,8 @@
         if self.endpoints is not None:
             oprot.writeFieldBegin('endpoints', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.endpoints))
-            for iter101 in self.endpoints:
-                iter101.write(oprot)
+            for iter94 in self.endpoints:
+                iter94.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2238,18 +2101,9 @@
     (5, TType.LIST, 'evidence', (TType.STRUCT, [VersionEvidence, None], False), None, ),  # 5
     (6, TType.LIST, 'verdicts', (TType.STRUCT, [VersionVerdict, None], False), None, ),  # 6
     (7, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 7
-    (8, TType.DOUBLE, 'now_s', None, None, ),  # 8
+    None,  # 8
     (9, TType.STRING, 'counts_digest', 'UTF8', None, ),  # 9
     (10, TType.MAP, 'counts', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 10
-    (11, TType.LIST, 'endpoints', (TType.STRUCT, [EndpointNews, None], False), None, ),  # 11
-)
-all_structs.append(EndpointNews)
-EndpointNews.thrift_spec = (
-    None,  # 0
-    (1, TType.STRING, 'endpoint', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
-    (3, TType.BOOL, 'leaving', None, None, ),  # 3
-    (4, TType.DOUBLE, 'age_s', None, None, ),  # 4
 )
 all_structs.append(AcquireRequest)
 AcquireRequest.thrift_spec = (
