--- a/Makefile
+++ b/Makefile
@@ -47,6 +47,9 @@
 	thrift --gen py:slots -out build/thrift libs/wire/peer.thrift
 	cp build/thrift/dandelionlead/wire/gen/*.py \
 	  libs/wire/src/dandelionlead/wire/gen/
+	thrift --gen py:slots -out build/thrift libs/gateway/gateway.thrift
+	cp build/thrift/dandelionlead/gateway/gen/*.py \
+	  libs/gateway/src/dandelionlead/gateway/gen/
 
 clean:
 	rm -rf $(VENV)
--- a/libs/core/src/dandelionlead/core/errors.py
+++ b/libs/core/src/dandelionlead/core/errors.py
@@ -38,6 +38,7 @@
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_FAILED = "endpoint_failed"
+    ENDPOINT_SILENT = "endpoint_silent"
     GENERATION_LOST = "generation_lost"
     GENERATION_UNKNOWN = "generation_unknown"
     TOKEN_INVALID = "token_invalid"
@@ -122,6 +123,9 @@
     Kind.ENDPOINT_FAILED: Answer(
         502, _UNKNOWN, 1, "The endpoint failed while it had the call."
     ),
+    Kind.ENDPOINT_SILENT: Answer(
+        504, _UNKNOWN, 1, "The endpoint did not answer in time."
+    ),
     Kind.GENERATION_LOST: Answer(
         502, _RAN, 1, "The endpoint lost the generation."
     ),
--- /dev/null
+++ b/libs/gateway/gateway.thrift
@@ -0,0 +1,76 @@
+// Messages between gateway processes.
+// Regenerate with `make thrift` after a change; the result is committed.
+namespace py dandelionlead.gateway.gen
+
+// Requests that one process has at an endpoint.
+struct EndpointLoad {
+  1: string endpoint_id
+  2: i32 runs
+  3: i32 tokens
+  4: i32 prefill_tokens
+}
+
+// An endpoint that ended while it ran a request with this fingerprint.
+struct CrashMark {
+  1: string fingerprint
+  2: string endpoint_id
+}
+
+// Answers of one version of a service at one process.
+struct VersionCount {
+  1: string service_name
+  2: string version
+  3: i32 answers
+  4: i32 failures
+  5: i32 slow
+}
+
+// The whole state that a process tells its peers; a later one replaces an
+// earlier one.
+struct Heartbeat {
+  1: string node
+  // Rises with each start of the process.
+  2: i64 incarnation
+  3: i64 sequence
+  4: string host
+  5: string availability_zone
+  // Address for callers, IP:PORT.
+  6: string front
+  7: bool ready
+  8: bool stopping
+  // Version of the store up to which the tables are known.
+  9: i64 orders_version
+  10: i64 endpoints_version
+  // Milliseconds since the store confirmed the orders; negative: never.
+  11: i32 confirmed_ms_ago
+  12: list<EndpointLoad> loads
+  // Endpoints that began to leave.
+  13: list<string> leaving
+  14: list<CrashMark> crashes
+  15: list<VersionCount> versions
+  // Addresses of other processes that are known.
+  16: list<string> known_hosts
+}
+
+struct Row {
+  1: string key
+  2: binary value
+  3: i64 version
+}
+
+// A whole table; empty if the asker's version is not older.
+struct Table {
+  1: string name
+  2: i64 version
+  3: list<Row> rows
+  4: i32 confirmed_ms_ago
+}
+
+// Asks for tables that are newer than the versions given.
+struct CopyRequest {
+  1: map<string, i64> known_versions
+}
+
+struct CopyResponse {
+  1: list<Table> tables
+}
--- /dev/null
+++ b/libs/gateway/src/dandelionlead/gateway/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/libs/gateway/src/dandelionlead/gateway/loads.py
@@ -0,0 +1,92 @@
+"""How much work each endpoint has, from this process and from its peers."""
+
+from __future__ import annotations
+
+
+class Load:
+    """Work at one endpoint.
+
+    Attributes:
+        runs: Requests under way.
+        tokens: Engine memory that they will take when they end.
+        prefill: Prompt tokens of requests that have no first event yet.
+    """
+
+    __slots__ = ("runs", "tokens", "prefill")
+
+    def __init__(self, runs: int = 0, tokens: int = 0, prefill: int = 0) -> None:
+        self.runs = runs
+        self.tokens = tokens
+        self.prefill = prefill
+
+    def add(self, other: Load) -> None:
+        """Adds another load to this one."""
+        self.runs += other.runs
+        self.tokens += other.tokens
+        self.prefill += other.prefill
+
+
+class Ticket:
+    """One request's share of the load of an endpoint."""
+
+    __slots__ = ("endpoint_id", "tokens", "prefill")
+
+    def __init__(self, endpoint_id: str, tokens: int, prefill: int) -> None:
+        self.endpoint_id = endpoint_id
+        self.tokens = tokens
+        self.prefill = prefill
+
+
+class LoadBook:
+    """Own requests and the latest word of each peer.
+
+    Args:
+        peer_limit_s: A peer's word counts for so long.
+    """
+
+    def __init__(self, *, peer_limit_s: float = 3.0) -> None:
+        self._peer_limit_s = peer_limit_s
+        self._own: dict[str, Load] = {}
+        self._peers: dict[str, tuple[float, dict[str, Load]]] = {}
+        self.changes = 0
+
+    def begin(self, endpoint_id: str, tokens: int, prefill: int) -> Ticket:
+        """Counts a request that is sent to an endpoint."""
+        load = self._own.setdefault(endpoint_id, Load())
+        load.add(Load(1, tokens, prefill))
+        self.changes += 1
+        return Ticket(endpoint_id, tokens, prefill)
+
+    def prefilled(self, ticket: Ticket) -> None:
+        """Notes that the prompt of a request has been read."""
+        self._own[ticket.endpoint_id].prefill -= ticket.prefill
+        ticket.prefill = 0
+
+    def end(self, ticket: Ticket) -> None:
+        """Takes a request off that ended or left the endpoint."""
+        load = self._own[ticket.endpoint_id]
+        load.add(Load(-1, -ticket.tokens, -ticket.prefill))
+        if not load.runs:
+            del self._own[ticket.endpoint_id]
+        self.changes += 1
+
+    def hear(self, peer: str, loads: dict[str, Load], now_s: float) -> None:
+        """Takes a peer's word on its own requests; it replaces the last."""
+        self._peers[peer] = (now_s, loads)
+
+    def own(self) -> dict[str, Load]:
+        """Returns the loads that this process causes, by endpoint."""
+        return self._own
+
+    def totals(self, now_s: float) -> dict[str, Load]:
+        """Returns the loads by endpoint, those of live peers included."""
+        totals: dict[str, Load] = {}
+        for endpoint_id, load in self._own.items():
+            totals.setdefault(endpoint_id, Load()).add(load)
+        for peer, (heard_s, loads) in list(self._peers.items()):
+            if now_s - heard_s > self._peer_limit_s:
+                del self._peers[peer]
+                continue
+            for endpoint_id, load in loads.items():
+                totals.setdefault(endpoint_id, Load()).add(load)
+        return totals
--- /dev/null
+++ b/libs/gateway/src/dandelionlead/gateway/mirror.py
@@ -0,0 +1,109 @@
+"""Copies of the store's tables, from own reads and from peers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+
+class Row:
+    """A row of the store.
+
+    Attributes:
+        key: Name within its table.
+        value: Its bytes; None if the row was deleted.
+        version: Version of the store at which it got this value.
+    """
+
+    __slots__ = ("key", "value", "version")
+
+    def __init__(self, key: str, value: bytes | None, version: int) -> None:
+        self.key = key
+        self.value = value
+        self.version = version
+
+
+class Table:
+    """Rows of one table up to a version of the store.
+
+    Attributes:
+        rows: Rows by key.
+        version: All changes up to here are known; -1 before the first read.
+        changed_version: Version of the last change.
+        confirmed_s: When the store was last known to hold nothing newer.
+    """
+
+    __slots__ = ("rows", "version", "changed_version", "confirmed_s")
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.version = -1
+        self.changed_version = -1
+        self.confirmed_s = float("-inf")
+
+
+class Mirror:
+    """Tables by name; a table never goes back to an older version.
+
+    Args:
+        names: Tables that are kept.
+        changed: Called with table and row for each row that changed.
+    """
+
+    def __init__(
+        self, names: Iterable[str], changed: Callable[[str, Row], None]
+    ) -> None:
+        self.tables = {name: Table() for name in names}
+        self._changed = changed
+
+    def replace(
+        self,
+        name: str,
+        rows: Iterable[Row],
+        version: int,
+        confirmed_s: float,
+    ) -> bool:
+        """Takes a whole table; returns whether it was not older."""
+        table = self.tables[name]
+        if version < table.version:
+            return False
+        found = {row.key: row for row in rows}
+        for key in list(table.rows):
+            if key not in found:
+                self._take(name, Row(key, None, version))
+        for row in found.values():
+            self._take(name, row)
+        table.version = version
+        table.confirmed_s = max(table.confirmed_s, confirmed_s)
+        return True
+
+    def change(
+        self,
+        name: str,
+        rows: Iterable[Row],
+        version: int,
+        confirmed_s: float,
+    ) -> bool:
+        """Takes changed rows; returns whether the version was not older."""
+        table = self.tables[name]
+        if version < table.version:
+            return False
+        for row in rows:
+            self._take(name, row)
+        table.version = version
+        table.confirmed_s = max(table.confirmed_s, confirmed_s)
+        return True
+
+    def _take(self, name: str, row: Row) -> None:
+        table = self.tables[name]
+        present = table.rows.get(row.key)
+        if present is not None and row.version <= present.version:
+            if row.value is not None or row.version < present.version:
+                return
+        if row.value is None:
+            if table.rows.pop(row.key, None) is None:
+                return
+        else:
+            table.rows[row.key] = row
+        table.changed_version = max(table.changed_version, row.version)
+        self._changed(name, row)
--- /dev/null
+++ b/libs/gateway/src/dandelionlead/gateway/peers.py
@@ -0,0 +1,212 @@
+"""Heartbeats between processes, and copies of tables on request."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import struct
+from collections.abc import Callable
+
+import eventlet
+import eventlet.green.socket as green_socket
+from dandelionlead.core import clock
+from dandelionlead.core import errors
+from dandelionlead.core import events
+from dandelionlead.gateway import callers
+from dandelionlead.gateway import mirror
+from dandelionlead.gateway import roster
+from dandelionlead.gateway.gen import ttypes
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
+HEARTBEAT_S = 0.5
+# A change is told at once, but not more often than this.
+LEAST_PAUSE_S = 0.04
+# With more peers heartbeats come less often, so that their number a second
+# stays what it is with so many.
+_PEERS_AT_FULL_RATE = 12
+_MAX_DATAGRAM = 60_000
+_MAX_FRAME = 16_777_216
+_MAX_KNOWN_HOSTS = 16
+_LENGTH = struct.Struct("!I")
+_DECODE_FAULTS = (
+    Thrift.TException,
+    OverflowError,
+    EOFError,
+    UnicodeDecodeError,
+)
+
+
+class Peers:
+    """Sockets between this process and its peers."""
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        known: roster.Roster,
+        tables: mirror.Mirror,
+        describe: Callable[[], ttypes.Heartbeat],
+        heard: Callable[[ttypes.Heartbeat], None],
+        log: events.Log,
+    ) -> None:
+        """Binds the sockets.
+
+        Args:
+            address: Where to listen, UDP and TCP.
+            known: The peers.
+            tables: Tables that peers may copy.
+            describe: Returns the present heartbeat of this process.
+            heard: Called with each heartbeat that is news.
+            log: Gets lines on messages that cannot be read.
+        """
+        self._address = address
+        self._roster = known
+        self._tables = tables
+        self._describe = describe
+        self._heard = heard
+        self._log = log
+        self._udp = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._udp.bind(address)
+        self._tcp = callers.listen(address)
+        self._soon = None
+        self._sent_s = 0.0
+        self.unreadable = 0
+
+    def start(self) -> None:
+        """Starts listening and sending."""
+        eventlet.spawn_n(self._receive)
+        eventlet.spawn_n(self._accept)
+        eventlet.spawn_n(self._send_regularly)
+
+    def changed(self) -> None:
+        """Tells the peers of a change soon."""
+        if self._soon is not None:
+            return
+        wait_s = self._sent_s + LEAST_PAUSE_S - clock.boottime()
+        self._soon = eventlet.spawn_after(max(0.0, wait_s), self.send)
+
+    def send(self) -> None:
+        """Sends a heartbeat to all peers."""
+        self._soon = None
+        self._sent_s = clock.boottime()
+        data = encode(self._describe())
+        for host in self._roster.hosts():
+            with contextlib.suppress(OSError):
+                # A datagram that cannot be sent is one that is lost.
+                self._udp.sendto(data, (host, self._address[1]))
+
+    def copy(
+        self, host: str, versions: dict[str, int], limit_s: float
+    ) -> ttypes.CopyResponse | errors.Failure:
+        """Asks a peer for tables that are newer than the versions."""
+        sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            with eventlet.Timeout(limit_s):
+                sock.connect((host, self._address[1]))
+                _send_frame(sock, encode(ttypes.CopyRequest(versions)))
+                return decode(ttypes.CopyResponse(), _read_frame(sock))
+        except (OSError, eventlet.Timeout, *_DECODE_FAULTS) as exc:
+            return errors.Failure(
+                errors.Kind.PEER_UNREACHABLE, f"{host}: {exc!r}"
+            )
+        finally:
+            sock.close()
+
+    def _send_regularly(self) -> None:
+        while True:
+            peers = len(self._roster.hosts())
+            pause_s = HEARTBEAT_S * max(1.0, peers / _PEERS_AT_FULL_RATE)
+            if clock.boottime() - self._sent_s >= 0.8 * pause_s:
+                self.send()
+            eventlet.sleep(pause_s)
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data, _ = self._udp.recvfrom(_MAX_DATAGRAM)
+                heartbeat = decode(ttypes.Heartbeat(), data)
+            except OSError:
+                eventlet.sleep(LEAST_PAUSE_S)
+                continue
+            except _DECODE_FAULTS as exc:
+                self.unreadable += 1
+                self._log.event("heartbeat_unreadable", reason=repr(exc))
+                continue
+            if self._roster.hear(heartbeat, clock.boottime()):
+                self._heard(heartbeat)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self._tcp.accept()
+            except OSError:
+                eventlet.sleep(LEAST_PAUSE_S)
+                continue
+            eventlet.spawn_n(self._answer, sock)
+
+    def _answer(self, sock: green_socket.GreenSocket) -> None:
+        try:
+            with eventlet.Timeout(2.0):
+                question = decode(ttypes.CopyRequest(), _read_frame(sock))
+                tables = self._newer(question.known_versions)
+                _send_frame(sock, encode(ttypes.CopyResponse(tables)))
+        except (OSError, eventlet.Timeout, *_DECODE_FAULTS) as exc:
+            self._log.event("copy_not_answered", reason=repr(exc))
+        finally:
+            sock.close()
+
+    def _newer(self, versions: dict[str, int]) -> list[ttypes.Table]:
+        now_s = clock.boottime()
+        found = []
+        for name, known in versions.items():
+            table = self._tables.tables.get(name)
+            if table is None or table.version < known:
+                continue
+            ago_ms = int(min(1e9, (now_s - table.confirmed_s) * 1e3))
+            rows = [
+                ttypes.Row(row.key, row.value, row.version)
+                for row in table.rows.values()
+            ]
+            found.append(ttypes.Table(name, table.version, rows, ago_ms))
+        return found
+
+
+def known_hosts(peers: roster.Roster) -> list[str]:
+    """Returns addresses that a heartbeat passes on."""
+    return peers.hosts()[:_MAX_KNOWN_HOSTS]
+
+
+def encode(message: object) -> bytes:
+    """Encodes a thrift message."""
+    buffer = TTransport.TMemoryBuffer()
+    message.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    return buffer.getvalue()
+
+
+def decode(message: object, data: bytes) -> object:
+    """Decodes into a thrift message and returns it."""
+    buffer = TTransport.TMemoryBuffer(data)
+    message.read(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    return message
+
+
+def _send_frame(sock: green_socket.GreenSocket, data: bytes) -> None:
+    sock.sendall(_LENGTH.pack(len(data)) + data)
+
+
+def _read_frame(sock: green_socket.GreenSocket) -> bytes:
+    size = _LENGTH.unpack(_read_exactly(sock, _LENGTH.size))[0]
+    if size > _MAX_FRAME:
+        raise OverflowError(f"a frame of {size} bytes")
+    return _read_exactly(sock, size)
+
+
+def _read_exactly(sock: green_socket.GreenSocket, size: int) -> bytes:
+    data = bytearray()
+    while len(data) < size:
+        part = sock.recv(min(65_536, size - len(data)))
+        if not part:
+            raise EOFError("the peer closed the connection")
+        data += part
+    return bytes(data)
--- /dev/null
+++ b/libs/gateway/src/dandelionlead/gateway/placement.py
@@ -0,0 +1,140 @@
+"""Where calls and moving runs go: endpoints, loads, health and limits."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from collections.abc import Collection
+
+from dandelionlead.core import hashing
+from dandelionlead.gateway import budget
+from dandelionlead.gateway import calls
+from dandelionlead.gateway import choice
+from dandelionlead.gateway import health
+from dandelionlead.gateway import loads
+from dandelionlead.gateway import model
+from dandelionlead.gateway import view
+
+
+class Cluster:
+    """This process among its peers.
+
+    Attributes:
+        name: Name of this process.
+        availability_zone: Its zone.
+        members: Returns the names of all live processes, this one included.
+    """
+
+    __slots__ = ("name", "availability_zone", "members")
+
+    def __init__(
+        self,
+        name: str,
+        availability_zone: str,
+        members: Callable[[], Collection[str]],
+    ) -> None:
+        self.name = name
+        self.availability_zone = availability_zone
+        self.members = members
+
+
+class Placement:
+    """Chooses endpoints and keeps the bounds that hold for them.
+
+    Attributes:
+        loads: Requests by endpoint.
+        health: Failures by endpoint.
+        retries: The shared budget for second sends.
+    """
+
+    def __init__(
+        self,
+        known: view.View,
+        cluster: Cluster,
+        retries: budget.RetryBudget,
+        rng: random.Random,
+    ) -> None:
+        self.loads = loads.LoadBook()
+        self.health = health.HealthBook()
+        self.retries = retries
+        self._view = known
+        self._cluster = cluster
+        self._cold = budget.ColdLimit()
+        self._rng = rng
+
+    def choose(
+        self,
+        service: model.Service,
+        tokens: int,
+        now_s: float,
+        *,
+        excluded: Collection[str] = (),
+        with_room: bool = False,
+    ) -> model.Endpoint | None:
+        """Returns an endpoint for new work, or None.
+
+        Args:
+            service: The service.
+            tokens: Engine memory that the work will take.
+            now_s: Time in seconds.
+            excluded: Ids of endpoints that are not asked.
+            with_room: Whether engines without slot or memory are left out.
+        """
+        totals = self.loads.totals(now_s)
+        candidates = []
+        for endpoint in self._view.open_endpoints(service.name):
+            endpoint_id = endpoint.endpoint_id
+            if endpoint_id in excluded:
+                continue
+            if not self._bears_more(endpoint, service, now_s):
+                continue
+            load = totals.get(endpoint_id) or loads.Load()
+            if with_room and not choice.has_room(load, service, tokens):
+                continue
+            candidates.append(
+                choice.Candidate(
+                    endpoint,
+                    load,
+                    self.health.failure_share(endpoint_id, now_s),
+                    self.health.paused(endpoint_id, now_s),
+                )
+            )
+        return choice.choose(
+            candidates,
+            service,
+            self._cluster.availability_zone,
+            tokens,
+            self._rng,
+        )
+
+    def sent(self, endpoint: model.Endpoint, now_s: float) -> None:
+        """Counts a request that is about to be sent."""
+        if now_s < endpoint.cold_until_s:
+            self._cold.sent(endpoint.endpoint_id, now_s)
+
+    def first(self, admitted: calls.Admitted, now_s: float) -> None:
+        """Counts a caller's request for the retry budget."""
+        self.retries.first(admitted.service.name, now_s)
+
+    def may_resend(
+        self, service: str, now_s: float, *, part: float = 1.0
+    ) -> bool:
+        """Takes a second send from the budget, if there is one."""
+        processes = len(self._cluster.members())
+        return self.retries.take(service, now_s, processes, part=part)
+
+    def _bears_more(
+        self, endpoint: model.Endpoint, service: model.Service, now_s: float
+    ) -> bool:
+        if now_s >= endpoint.cold_until_s or not service.cold_per_s:
+            return True
+        members = self._cluster.members()
+        ranked = hashing.rank(endpoint.endpoint_id, members)
+        rank = ranked.index(self._cluster.name)
+        return self._cold.allows(
+            endpoint.endpoint_id,
+            service.cold_per_s,
+            now_s,
+            rank,
+            len(members),
+        )
--- /dev/null
+++ b/libs/gateway/src/dandelionlead/gateway/view.py
@@ -0,0 +1,116 @@
+"""The operator's orders and the endpoints, as this process knows them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from dandelionlead.gateway import model
+from dandelionlead.gateway import routes
+
+# Endpoints that left are remembered, since a late entry may still name them.
+
+
+_MOST_LEAVING = 1_000
+
+
+class _Leaving:
+    __slots__ = ("born_ms", "missing")
+
+    def __init__(self, born_ms: int, missing: bool) -> None:
+        self.born_ms = born_ms
+        self.missing = missing
+
+
+class View:
+    """Mutable state that sources write and decisions read.
+
+    Attributes:
+        configuration: The newest configuration; None before the first.
+        table: Its routes.
+        endpoints: Endpoints by id.
+        closed_zones: Availability zones that get no work.
+        rollouts: Orders by service.
+        confirmed_s: When the platform or a peer last confirmed all this.
+        notices: Called with the id of an endpoint that begins to leave.
+    """
+
+    def __init__(self) -> None:
+        self.configuration: model.Configuration | None = None
+        self.table = routes.RouteTable(())
+        self.endpoints: dict[str, model.Endpoint] = {}
+        self.closed_zones: frozenset[str] = frozenset()
+        self.rollouts: dict[str, model.RolloutOrder] = {}
+        self.confirmed_s = float("-inf")
+        self.notices: list[Callable[[str], None]] = []
+        self._leaving: dict[str, _Leaving] = {}
+
+    def configure(self, configuration: model.Configuration) -> bool:
+        """Puts a configuration in force unless a newer one is."""
+        present = self.configuration
+        if present is not None and configuration.version <= present.version:
+            return False
+        self.configuration = configuration
+        self.table = routes.RouteTable(configuration.routes)
+        return True
+
+    def set_endpoint(self, endpoint: model.Endpoint) -> None:
+        """Takes an endpoint's entry."""
+        left = self._leaving.get(endpoint.endpoint_id)
+        if left is not None and not endpoint.draining:
+            # An entry that is back was only lost; another start of the
+            # endpoint is a new one. A late entry from before its notice is
+            # neither.
+            if left.missing or left.born_ms != endpoint.born_ms:
+                del self._leaving[endpoint.endpoint_id]
+        self.endpoints[endpoint.endpoint_id] = endpoint
+        if endpoint.draining:
+            self.leaving(endpoint.endpoint_id)
+
+    def drop_endpoint(self, endpoint_id: str) -> None:
+        """Takes note that an endpoint's entry is gone."""
+        if endpoint_id in self.endpoints:
+            self.leaving(endpoint_id, missing=True)
+            del self.endpoints[endpoint_id]
+
+    def leaving(self, endpoint_id: str, *, missing: bool = False) -> None:
+        """Takes a notice that an endpoint leaves; tells the listeners once.
+
+        Args:
+            endpoint_id: The endpoint.
+            missing: Whether only its entry is gone.
+        """
+        if endpoint_id in self._leaving:
+            return
+        known = self.endpoints.get(endpoint_id)
+        if known is None:
+            return
+        self._leaving[endpoint_id] = _Leaving(known.born_ms, missing)
+        if len(self._leaving) > _MOST_LEAVING:
+            del self._leaving[next(iter(self._leaving))]
+        for notice in self.notices:
+            notice(endpoint_id)
+
+    def leaving_ids(self) -> list[str]:
+        """Returns endpoints that said that they leave and still have entries."""
+        return [
+            endpoint_id
+            for endpoint_id, left in self._leaving.items()
+            if not left.missing and endpoint_id in self.endpoints
+        ]
+
+    def is_leaving(self, endpoint_id: str) -> bool:
+        """Whether an endpoint has begun to leave, or is gone."""
+        if endpoint_id in self._leaving:
+            return True
+        return endpoint_id not in self.endpoints
+
+    def open_endpoints(self, service: str) -> list[model.Endpoint]:
+        """Returns the endpoints of a service that may get new work."""
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.service == service
+            and not endpoint.draining
+            and endpoint.endpoint_id not in self._leaving
+            and endpoint.availability_zone not in self.closed_zones
+        ]
