--- a/libs/gateway/src/dandelionlead/gateway/callers.py
+++ b/libs/gateway/src/dandelionlead/gateway/callers.py
@@ -12,6 +12,7 @@
 import eventlet.hubs
 import greenlet
 import h11
+
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.gateway import channel
@@ -24,7 +25,7 @@
 _BACKLOG = 512
 
 
-class CallerGone(Exception):
+class CallerGoneError(Exception):
     """Raised in the greenlet of a call whose caller closed its connection."""
 
 
@@ -74,9 +75,7 @@
         self.started = False
         self.ended = False
 
-    def whole(
-        self, status: int, headers: channel.Headers, body: bytes
-    ) -> None:
+    def whole(self, status: int, headers: channel.Headers, body: bytes) -> None:
         """Sends a complete answer."""
         kept = [(k, v) for k, v in headers if k.lower() != b"content-length"]
         kept.append((b"Content-Length", b"%d" % len(body)))
@@ -129,7 +128,7 @@
         try:
             while self._one_request():
                 self._http.start_next_cycle()
-        except (OSError, CallerGone, h11.LocalProtocolError):
+        except (OSError, CallerGoneError, h11.LocalProtocolError):
             pass  # The caller is gone; the access line has the outcome.
         finally:
             self.close()
@@ -156,7 +155,7 @@
         return self._http.send(event) or b""
 
     def write(self, data: bytes) -> None:
-        """Writes to the caller; raises `CallerGone` if that fails."""
+        """Writes to the caller; raises `CallerGoneError` if that fails."""
         if not data:
             return
         left_s = max(0.05, self.write_until_s - clock.boottime())
@@ -164,7 +163,7 @@
             self._sock.settimeout(left_s)
             self._sock.sendall(data)
         except OSError as exc:
-            raise CallerGone(str(exc)) from exc
+            raise CallerGoneError(str(exc)) from exc
 
     def _one_request(self) -> bool:
         limits = self._handler.limits()
@@ -189,9 +188,7 @@
         return reply.ended and done and self._http.their_state is h11.DONE
 
     def _read_request(self, limits: model.Limits) -> Request | None:
-        event = self._next_event(
-            limits.idle_timeout_s, limits.header_timeout_s
-        )
+        event = self._next_event(limits.idle_timeout_s, limits.header_timeout_s)
         if not isinstance(event, h11.Request):
             return None
         self.idle = False
@@ -280,15 +277,13 @@
 
 
 class _Watch:
-    """Raises `CallerGone` in the present greenlet when the caller closes.
+    """Raises `CallerGoneError` in the present greenlet when the caller closes.
 
     The connection is watched while its request is served. Bytes of a next
     request end the watch; they are read after the present one.
     """
 
-    def __init__(
-        self, sock: green_socket.GreenSocket, more_came: bool
-    ) -> None:
+    def __init__(self, sock: green_socket.GreenSocket, more_came: bool) -> None:
         self._sock = sock
         self._more_came = more_came
         self._greenlet = greenlet.getcurrent()
@@ -328,7 +323,7 @@
 
     def _raise(self) -> None:
         if self._active:
-            self._greenlet.throw(CallerGone("the caller closed"))
+            self._greenlet.throw(CallerGoneError("the caller closed"))
 
 
 class Listener:
--- a/libs/gateway/src/dandelionlead/gateway/calls.py
+++ b/libs/gateway/src/dandelionlead/gateway/calls.py
@@ -120,9 +120,7 @@
         self.route = route
         self.team = team
         self.service = service
-        self.until_s = min(
-            call.deadline_s, call.arrived_s + route.timeout_s
-        )
+        self.until_s = min(call.deadline_s, call.arrived_s + route.timeout_s)
         self.configuration_version = configuration_version
 
     @property
--- a/libs/gateway/src/dandelionlead/gateway/channel.py
+++ b/libs/gateway/src/dandelionlead/gateway/channel.py
@@ -11,7 +11,9 @@
 import struct
 
 import eventlet.green.socket as green_socket
+import eventlet.hubs as hubs
 import h11
+
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 
@@ -238,8 +240,7 @@
         if left_s <= 0:
             return _silent("no response in time")
         try:
-            self._sock.settimeout(left_s)
-            data = self._sock.recv(_READ_BYTES)
+            data = receive(self._sock, _READ_BYTES, left_s)
         except TimeoutError:
             return _silent("no response in time")
         except OSError as exc:
@@ -269,6 +270,26 @@
     return Channel(address, sock)
 
 
+def receive(
+    sock: green_socket.GreenSocket, size: int, timeout_s: float
+) -> bytes:
+    """Reads what has arrived; raises `TimeoutError` or `OSError`.
+
+    eventlet's own `recv` turns a reset into an end of the stream, and so a
+    torn body without a length into a whole one.
+    """
+    while True:
+        try:
+            return sock.fd.recv(size)
+        except BlockingIOError:
+            hubs.trampoline(
+                sock.fd,
+                read=True,
+                timeout=timeout_s,
+                timeout_exc=TimeoutError,
+            )
+
+
 def tune(sock: green_socket.GreenSocket) -> None:
     """Sets options that find silent peers and send small writes at once."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -276,15 +297,11 @@
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS
     )
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S
     )
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES
-    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
 
 
 def _head(event: h11.Response) -> Head:
--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -67,9 +67,7 @@
         """Whether connections are closed after their present request."""
         return self._state.stopping
 
-    def handle(
-        self, request: callers.Request, reply: callers.Reply
-    ) -> None:
+    def handle(self, request: callers.Request, reply: callers.Reply) -> None:
         """Answers one request."""
         call = self._words.read_call(
             request.method, request.target, request.headers, request.arrived_s
@@ -123,9 +121,7 @@
             return errors.Failure(
                 errors.Kind.NO_ENDPOINT, f"no service is called {name}"
             )
-        return calls.Admitted(
-            call, route, team, service, configuration.version
-        )
+        return calls.Admitted(call, route, team, service, configuration.version)
 
     def _refuse(
         self, reply: callers.Reply, failure: errors.Failure, request_id: str
@@ -370,9 +366,7 @@
         gateway = self._gateway
         admitted = self._admitted
         endpoint_id = started.endpoint.endpoint_id
-        body = started.conn.read_all(
-            admitted.until_s, attempt.MAX_BODY_BYTES
-        )
+        body = started.conn.read_all(admitted.until_s, attempt.MAX_BODY_BYTES)
         now_s = clock.boottime()
         self._ran += 1
         if isinstance(body, errors.Failure):
@@ -402,9 +396,7 @@
         if admitted.until_s - now_s < route.objective_s / 4:
             return False
         places = self._gateway._places
-        other = places.choose(
-            admitted.service, 0, now_s, excluded=self._tried
-        )
+        other = places.choose(admitted.service, 0, now_s, excluded=self._tried)
         return other is not None
 
     def _may_offer_again(self) -> bool:
--- a/libs/gateway/src/dandelionlead/gateway/loads.py
+++ b/libs/gateway/src/dandelionlead/gateway/loads.py
@@ -14,7 +14,9 @@
 
     __slots__ = ("runs", "tokens", "prefill")
 
-    def __init__(self, runs: int = 0, tokens: int = 0, prefill: int = 0) -> None:
+    def __init__(
+        self, runs: int = 0, tokens: int = 0, prefill: int = 0
+    ) -> None:
         self.runs = runs
         self.tokens = tokens
         self.prefill = prefill
--- a/libs/gateway/src/dandelionlead/gateway/mirror.py
+++ b/libs/gateway/src/dandelionlead/gateway/mirror.py
@@ -97,9 +97,8 @@
     def _take(self, name: str, row: Row) -> None:
         table = self.tables[name]
         present = table.rows.get(row.key)
-        if present is not None and row.version <= present.version:
-            if row.value is not None or row.version < present.version:
-                return
+        if present is not None and _is_older(row, present):
+            return
         if row.value is None:
             if table.rows.pop(row.key, None) is None:
                 return
@@ -107,3 +106,9 @@
             table.rows[row.key] = row
         table.changed_version = max(table.changed_version, row.version)
         self._changed(name, row)
+
+
+def _is_older(row: Row, present: Row) -> bool:
+    if row.value is None:
+        return row.version < present.version
+    return row.version <= present.version
--- a/libs/gateway/src/dandelionlead/gateway/peers.py
+++ b/libs/gateway/src/dandelionlead/gateway/peers.py
@@ -9,6 +9,10 @@
 
 import eventlet
 import eventlet.green.socket as green_socket
+from thrift import Thrift
+from thrift.protocol import TCompactProtocol
+from thrift.transport import TTransport
+
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
@@ -16,9 +20,6 @@
 from dandelionlead.gateway import mirror
 from dandelionlead.gateway import roster
 from dandelionlead.gateway.gen import ttypes
-from thrift import Thrift
-from thrift.protocol import TCompactProtocol
-from thrift.transport import TTransport
 
 HEARTBEAT_S = 0.5
 # A change is told at once, but not more often than this.
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import eventlet
+
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
@@ -164,7 +165,7 @@
     def _read(
         self, current: attempt.Started
     ) -> bytes | channel.End | errors.Failure:
-        """Reads on; a silent engine is left if the run's memory is elsewhere."""
+        """Reads on; leaves a silent engine if a copy is elsewhere."""
         until_s = self._run.admitted.until_s
         while True:
             pause_s = clock.boottime() + SILENCE_S
@@ -225,9 +226,7 @@
         started = self._resume_at(target, resumption, ticket)
         if started is None and run.stopped is not None:
             # A run that was stopped for a move can go on where it was.
-            ticket = self._places.loads.begin(
-                source.endpoint_id, run.tokens, 0
-            )
+            ticket = self._places.loads.begin(source.endpoint_id, run.tokens, 0)
             started = self._resume_at(source, resumption, ticket)
         return started
 
--- a/libs/gateway/src/dandelionlead/gateway/runs.py
+++ b/libs/gateway/src/dandelionlead/gateway/runs.py
@@ -10,6 +10,7 @@
 
 import eventlet
 import eventlet.event
+
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
--- a/libs/gateway/src/dandelionlead/gateway/standing.py
+++ b/libs/gateway/src/dandelionlead/gateway/standing.py
@@ -26,9 +26,7 @@
         self.started_s = started_s
         self.alone = False
 
-    def refusal(
-        self, now_s: float, known: view.View
-    ) -> errors.Failure | None:
+    def refusal(self, now_s: float, known: view.View) -> errors.Failure | None:
         """Returns why no call may be taken now, or None."""
         if known.configuration is None:
             return errors.Failure(
--- a/libs/gateway/src/dandelionlead/gateway/view.py
+++ b/libs/gateway/src/dandelionlead/gateway/view.py
@@ -20,6 +20,16 @@
         self.born_ms = born_ms
         self.missing = missing
 
+    def is_undone_by(self, entry: model.Endpoint) -> bool:
+        """Whether an entry shows that the endpoint takes work again.
+
+        An entry that is back was only lost, and another start of the endpoint
+        is a new one. A late entry from before the notice is neither.
+        """
+        if entry.draining:
+            return False
+        return self.missing or self.born_ms != entry.born_ms
+
 
 class View:
     """Mutable state that sources write and decisions read.
@@ -56,12 +66,8 @@
     def set_endpoint(self, endpoint: model.Endpoint) -> None:
         """Takes an endpoint's entry."""
         left = self._leaving.get(endpoint.endpoint_id)
-        if left is not None and not endpoint.draining:
-            # An entry that is back was only lost; another start of the
-            # endpoint is a new one. A late entry from before its notice is
-            # neither.
-            if left.missing or left.born_ms != endpoint.born_ms:
-                del self._leaving[endpoint.endpoint_id]
+        if left is not None and left.is_undone_by(endpoint):
+            del self._leaving[endpoint.endpoint_id]
         self.endpoints[endpoint.endpoint_id] = endpoint
         if endpoint.draining:
             self.leaving(endpoint.endpoint_id)
@@ -91,7 +97,7 @@
             notice(endpoint_id)
 
     def leaving_ids(self) -> list[str]:
-        """Returns endpoints that said that they leave and still have entries."""
+        """Returns endpoints that leave and still have entries."""
         return [
             endpoint_id
             for endpoint_id, left in self._leaving.items()
