Back up long runs as they grow; tell loads at each change

Change: Kv-Backup for runs that may not be resumed, where the other engine stays under 0.65 of its memory; the run stays until its engine ends, then goes on from the backup; silence found by three times the run's own pace.

--- a/libs/gateway/src/dandelionlead/gateway/channel.py
+++ b/libs/gateway/src/dandelionlead/gateway/channel.py
@@ -278,16 +278,23 @@
     eventlet's own `recv` turns a reset into an end of the stream, and so a
     torn body without a length into a whole one.
     """
+    late = False
     while True:
         try:
             return sock.fd.recv(size)
         except BlockingIOError:
+            if late:
+                raise TimeoutError from None
+        try:
             hubs.trampoline(
                 sock.fd,
                 read=True,
                 timeout=timeout_s,
                 timeout_exc=TimeoutError,
             )
+        except TimeoutError:
+            # After a pause of this process the bytes may be here by now.
+            late = True
 
 
 def tune(sock: green_socket.GreenSocket) -> None:
--- a/libs/gateway/src/dandelionlead/gateway/choice.py
+++ b/libs/gateway/src/dandelionlead/gateway/choice.py
@@ -72,14 +72,27 @@
     return rng.choice(alike)
 
 
-def has_room(load: loads.Load, service: model.Service, tokens: int) -> bool:
-    """Whether an engine has a slot and memory for a run."""
+def has_room(
+    load: loads.Load,
+    service: model.Service,
+    tokens: int,
+    *,
+    fill: float = 1.0,
+) -> bool:
+    """Whether an engine has a slot and memory for a run.
+
+    Args:
+        load: Work that the engine has.
+        service: Its service.
+        tokens: Memory that the run will take.
+        fill: Part of the engine's memory that may be taken.
+    """
     engine = service.engine
     if engine is None:
         return True
     if load.runs >= engine.slots:
         return False
-    return load.tokens + tokens <= engine.memory_tokens
+    return load.tokens + tokens <= fill * engine.memory_tokens
 
 
 def _cost(
--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -259,9 +259,13 @@
         run = runs.Run(admitted, endpoint, ticket, tokens)
         relayed = False
         started = None
+        gateway._mover.back_up(run)
         try:
             started = gateway._sender.start(
-                admitted, endpoint, self._patience(now_s)
+                admitted,
+                endpoint,
+                self._patience(now_s),
+                backup=run.backup_at,
             )
             if isinstance(started, errors.Failure):
                 self._note_failure(endpoint, started)
@@ -277,6 +281,7 @@
         finally:
             if not relayed:
                 gateway._places.loads.end(ticket)
+                gateway._mover.drop_backup(run)
                 if started is not None:
                     started.conn.close()
 
--- a/libs/gateway/src/dandelionlead/gateway/loads.py
+++ b/libs/gateway/src/dandelionlead/gateway/loads.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 
 class Load:
     """Work at one endpoint.
@@ -31,12 +33,15 @@
 class Ticket:
     """One request's share of the load of an endpoint."""
 
-    __slots__ = ("endpoint_id", "tokens", "prefill")
+    __slots__ = ("endpoint_id", "tokens", "prefill", "runs")
 
-    def __init__(self, endpoint_id: str, tokens: int, prefill: int) -> None:
+    def __init__(
+        self, endpoint_id: str, tokens: int, prefill: int, runs: int
+    ) -> None:
         self.endpoint_id = endpoint_id
         self.tokens = tokens
         self.prefill = prefill
+        self.runs = runs
 
 
 class LoadBook:
@@ -44,33 +49,47 @@
 
     Args:
         peer_limit_s: A peer's word counts for so long.
+
+    Attributes:
+        changed: Called after each change of the own requests.
     """
 
     def __init__(self, *, peer_limit_s: float = 3.0) -> None:
         self._peer_limit_s = peer_limit_s
+        self.changed: Callable[[], None] = _nothing
         self._own: dict[str, Load] = {}
         self._peers: dict[str, tuple[float, dict[str, Load]]] = {}
-        self.changes = 0
 
-    def begin(self, endpoint_id: str, tokens: int, prefill: int) -> Ticket:
-        """Counts a request that is sent to an endpoint."""
+    def begin(
+        self, endpoint_id: str, tokens: int, prefill: int, *, runs: int = 1
+    ) -> Ticket:
+        """Counts work at an endpoint.
+
+        Args:
+            endpoint_id: The endpoint.
+            tokens: Engine memory that it will take when it ends.
+            prefill: Prompt tokens that have to be read.
+            runs: 1 for a request, 0 for a copy that only takes memory.
+        """
         load = self._own.setdefault(endpoint_id, Load())
-        load.add(Load(1, tokens, prefill))
-        self.changes += 1
-        return Ticket(endpoint_id, tokens, prefill)
+        load.add(Load(runs, tokens, prefill))
+        self.changed()
+        return Ticket(endpoint_id, tokens, prefill, runs)
 
     def prefilled(self, ticket: Ticket) -> None:
         """Notes that the prompt of a request has been read."""
-        self._own[ticket.endpoint_id].prefill -= ticket.prefill
-        ticket.prefill = 0
+        if ticket.prefill:
+            self._own[ticket.endpoint_id].prefill -= ticket.prefill
+            ticket.prefill = 0
+            self.changed()
 
     def end(self, ticket: Ticket) -> None:
-        """Takes a request off that ended or left the endpoint."""
+        """Takes work off that ended or left the endpoint."""
         load = self._own[ticket.endpoint_id]
-        load.add(Load(-1, -ticket.tokens, -ticket.prefill))
-        if not load.runs:
+        load.add(Load(-ticket.runs, -ticket.tokens, -ticket.prefill))
+        if not load.runs and not load.tokens:
             del self._own[ticket.endpoint_id]
-        self.changes += 1
+        self.changed()
 
     def hear(self, peer: str, loads: dict[str, Load], now_s: float) -> None:
         """Takes a peer's word on its own requests; it replaces the last."""
@@ -92,3 +111,7 @@
             for endpoint_id, load in loads.items():
                 totals.setdefault(endpoint_id, Load()).add(load)
         return totals
+
+
+def _nothing() -> None:
+    """Stands for a listener where there is none."""
--- a/libs/gateway/src/dandelionlead/gateway/placement.py
+++ b/libs/gateway/src/dandelionlead/gateway/placement.py
@@ -69,7 +69,8 @@
         now_s: float,
         *,
         excluded: Collection[str] = (),
-        with_room: bool = False,
+        fill: float | None = None,
+        near: str = "",
     ) -> model.Endpoint | None:
         """Returns an endpoint for new work, or None.
 
@@ -78,7 +79,9 @@
             tokens: Engine memory that the work will take.
             now_s: Time in seconds.
             excluded: Ids of endpoints that are not asked.
-            with_room: Whether engines without slot or memory are left out.
+            fill: Part of an engine's memory that may be taken; engines with
+                less room are left out. None lets full ones queue the work.
+            near: Availability zone that is preferred; the own one if empty.
         """
         totals = self.loads.totals(now_s)
         candidates = []
@@ -89,7 +92,9 @@
             if not self._bears_more(endpoint, service, now_s):
                 continue
             load = totals.get(endpoint_id) or loads.Load()
-            if with_room and not choice.has_room(load, service, tokens):
+            if fill is not None and not choice.has_room(
+                load, service, tokens, fill=fill
+            ):
                 continue
             candidates.append(
                 choice.Candidate(
@@ -102,7 +107,7 @@
         return choice.choose(
             candidates,
             service,
-            self._cluster.availability_zone,
+            near or self._cluster.availability_zone,
             tokens,
             self._rng,
         )
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -17,9 +17,13 @@
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sse
 
-# Without an event for so long, a run whose memory lies elsewhere goes on
-# there; an engine at work brings an event within a few hundredths of a second.
-SILENCE_S = 0.8
+# A run whose memory lies elsewhere goes on there after a pause of so many
+# times its usual one, within these limits. The lower one keeps the whole gap
+# under what callers take for a stall.
+SILENCE_PAUSES = 3.0
+SHORTEST_SILENCE_S = 0.12
+LONGEST_SILENCE_S = 0.8
+_PAUSE_WEIGHT = 0.1
 # The response to the last copy and the end of the stream come apart by little.
 _STOP_WAIT_S = 1.0
 _RESUME_LIMIT_S = 1.5
@@ -81,6 +85,7 @@
         self._resumed = False
         self._failed: set[str] = set()
         self._wrote_s = 0.0
+        self._pause_s = SHORTEST_SILENCE_S / SILENCE_PAUSES
         self.outcome = Outcome()
 
     def pump(self, started: attempt.Started) -> Outcome:
@@ -111,6 +116,7 @@
         run.active = False
         self._mover.remove(run)
         self._mover.drop_copy(run, free=True)
+        self._mover.drop_backup(run)
         self._places.loads.end(run.ticket)
         self.outcome.events = self._splitter.events
         self.outcome.moves = run.moves
@@ -160,25 +166,33 @@
         gap_s = now_s - self._wrote_s
         self.outcome.longest_gap_s = max(self.outcome.longest_gap_s, gap_s)
         self._wrote_s = now_s
+        self._pause_s += _PAUSE_WEIGHT * (gap_s - self._pause_s)
         self._reply.send(whole)
 
     def _read(
         self, current: attempt.Started
     ) -> bytes | channel.End | errors.Failure:
         """Reads on; leaves a silent engine if a copy is elsewhere."""
-        until_s = self._run.admitted.until_s
+        run = self._run
+        until_s = run.admitted.until_s
         while True:
-            pause_s = clock.boottime() + SILENCE_S
-            data = current.conn.read(min(until_s, pause_s))
+            saved = run.copy is not None or run.backup_at is not None
+            saved = saved and self._reply.started
+            limit_s = self._silence_s() if saved else LONGEST_SILENCE_S
+            now_s = clock.boottime()
+            data = current.conn.read(min(until_s, now_s + limit_s))
             silent = (
                 isinstance(data, errors.Failure)
                 and data.kind is errors.Kind.ENDPOINT_SILENT
             )
-            if not silent or clock.boottime() >= until_s:
-                return data
-            if self._run.copy is not None and self._reply.started:
+            if not silent or saved or clock.boottime() >= until_s:
                 return data
 
+    def _silence_s(self) -> float:
+        """Returns the pause after which an engine is taken to be gone."""
+        pause_s = SILENCE_PAUSES * self._pause_s
+        return min(LONGEST_SILENCE_S, max(SHORTEST_SILENCE_S, pause_s))
+
     def _continue(self, failure: errors.Failure) -> attempt.Started | None:
         """Goes on at another engine after a break; None if that is not to be.
 
@@ -198,7 +212,11 @@
         for _ in range(_MAX_CONTINUATIONS):
             if run.moves >= _MAX_CONTINUATIONS:
                 return None
-            started = self._resume_from_copy() or self._resume_anew()
+            started = (
+                self._resume_from_copy()
+                or self._resume_from_backup()
+                or self._resume_anew()
+            )
             if started is not None or not self._may_go_on():
                 return started
         return None
@@ -230,6 +248,19 @@
             started = self._resume_at(source, resumption, ticket)
         return started
 
+    def _resume_from_backup(self) -> attempt.Started | None:
+        """Goes on at the engine that keeps the run's growing copy."""
+        run = self._run
+        target = run.backup_at
+        if target is None:
+            return None
+        resumption = calls.Resumption(
+            target.address, run.request_id, self._splitter.last_id
+        )
+        self._mover.drop_backup(run)
+        ticket = self._places.loads.begin(target.endpoint_id, run.tokens, 0)
+        return self._resume_at(target, resumption, ticket)
+
     def _resume_anew(self) -> attempt.Started | None:
         """Starts a new run after the last event, where that is allowed."""
         run = self._run
@@ -259,6 +290,7 @@
     ) -> attempt.Started | None:
         run = self._run
         self._mover.remove(run)
+        self._mover.drop_backup(run)
         self._places.loads.end(run.ticket)
         run.endpoint, run.ticket = target, ticket
         run.moving, run.stopped = False, None
@@ -266,8 +298,13 @@
         began_s = clock.boottime()
         until_s = min(run.admitted.until_s, began_s + _RESUME_LIMIT_S)
         self._places.sent(target, began_s)
+        self._mover.back_up(run)
         started = self._sender.start(
-            run.admitted, target, until_s, resumption=resumption
+            run.admitted,
+            target,
+            until_s,
+            resumption=resumption,
+            backup=run.backup_at,
         )
         failure = None
         if isinstance(started, errors.Failure):
--- a/libs/gateway/src/dandelionlead/gateway/runs.py
+++ b/libs/gateway/src/dandelionlead/gateway/runs.py
@@ -30,6 +30,8 @@
 COPY_LIMIT_S = 2.0
 # Longest wait for the word that the last copy is complete.
 STOP_LIMIT_S = 1.0
+# Backups leave this part of an engine's memory to new requests.
+BACKUP_FILL = 0.65
 _PAUSE_S = 0.03
 _FREE_LIMIT_S = 0.5
 
@@ -50,6 +52,8 @@
             asked for; None before.
         moves: Times that it has moved.
         active: Whether it has not ended.
+        backup_at: The engine that keeps a growing copy of its memory.
+        backup_ticket: The backup's share of that engine's load.
     """
 
     __slots__ = (
@@ -64,6 +68,8 @@
         "stopped",
         "moves",
         "active",
+        "backup_at",
+        "backup_ticket",
     )
 
     def __init__(
@@ -84,6 +90,8 @@
         self.stopped: eventlet.event.Event | None = None
         self.moves = 0
         self.active = True
+        self.backup_at: model.Endpoint | None = None
+        self.backup_ticket: loads.Ticket | None = None
 
     @property
     def request_id(self) -> str:
@@ -133,9 +141,40 @@
         return sum(len(found) for found in self._runs.values())
 
     def notice(self, endpoint_id: str) -> None:
-        """Moves all runs of an engine that leaves."""
+        """Moves all runs of an engine that leaves, and forgets its copies."""
         for run in list(self._runs.get(endpoint_id, ())):
             self._begin(run)
+        for runs in list(self._runs.values()):
+            for run in runs:
+                self._lose_backup(run, endpoint_id)
+
+    def back_up(self, run: Run) -> None:
+        """Chooses an engine that keeps a copy of a run as it grows."""
+        engine = run.admitted.service.engine
+        if engine is None or not engine.backups:
+            return
+        if run.admitted.route.repeatable:
+            return
+        found = self._places.choose(
+            run.admitted.service,
+            run.tokens,
+            clock.boottime(),
+            excluded={run.endpoint.endpoint_id},
+            fill=BACKUP_FILL,
+        )
+        if found is None:
+            return
+        run.backup_at = found
+        run.backup_ticket = self._places.loads.begin(
+            found.endpoint_id, run.tokens, 0, runs=0
+        )
+
+    def drop_backup(self, run: Run) -> None:
+        """Forgets the backup of a run."""
+        run.backup_at = None
+        if run.backup_ticket is not None:
+            self._places.loads.end(run.backup_ticket)
+            run.backup_ticket = None
 
     def drop_copy(self, run: Run, *, free: bool) -> None:
         """Forgets the copy of a run; `free` asks the source to free it."""
@@ -147,10 +186,20 @@
         if copy is not None and free:
             eventlet.spawn_n(self._free, run.endpoint, copy.handle)
 
+    def _lose_backup(self, run: Run, endpoint_id: str) -> None:
+        backup = run.backup_at
+        if backup is None or backup.endpoint_id != endpoint_id:
+            return
+        self.drop_backup(run)
+        if self._view.is_leaving(run.endpoint.endpoint_id):
+            self._begin(run)
+
     def _begin(self, run: Run) -> None:
         engine = run.admitted.service.engine
         if run.moving or not run.active or engine is None or not engine.moves:
             return
+        if run.backup_at is not None:
+            return
         run.moving = True
         eventlet.spawn_n(self._move, run, run.endpoint)
 
@@ -193,7 +242,8 @@
             run.tokens,
             clock.boottime(),
             excluded=refused,
-            with_room=True,
+            fill=1.0,
+            near=run.endpoint.availability_zone,
         )
         if found is None:
             return False
