--- a/libs/gateway/gateway.thrift
+++ b/libs/gateway/gateway.thrift
@@ -38,7 +38,8 @@
   6: string front
   7: bool ready
   8: bool stopping
-  // Version of the store up to which the tables are known.
+  // Version of the last change of the orders, and of the last change of the
+  // endpoints that matters to a choice.
   9: i64 orders_version
   10: i64 endpoints_version
   // Milliseconds since the store confirmed the orders; negative: never.
@@ -50,6 +51,8 @@
   15: list<VersionCount> versions
   // Addresses of other processes that are known.
   16: list<string> known_hosts
+  // Milliseconds since the endpoints were read from the store; negative: never.
+  17: i32 endpoints_read_ms_ago
 }
 
 struct Row {
@@ -58,12 +61,14 @@
   3: i64 version
 }
 
-// A whole table; empty if the asker's version is not older.
+// A table up to a version. Without `whole`, no row has changed since the
+// version that the asker knows, and none is sent.
 struct Table {
   1: string name
   2: i64 version
   3: list<Row> rows
   4: i32 confirmed_ms_ago
+  5: bool whole
 }
 
 // Asks for tables that are newer than the versions given.
--- a/libs/gateway/src/dandelionlead/gateway/gen/ttypes.py
+++ b/libs/gateway/src/dandelionlead/gateway/gen/ttypes.py
@@ -335,6 +335,7 @@
      - crashes
      - versions
      - known_hosts
+     - endpoints_read_ms_ago
 
     """
 
@@ -355,10 +356,11 @@
         'crashes',
         'versions',
         'known_hosts',
+        'endpoints_read_ms_ago',
     )
 
 
-    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None,):
+    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None,):
         self.node = node
         self.incarnation = incarnation
         self.sequence = sequence
@@ -375,6 +377,7 @@
         self.crashes = crashes
         self.versions = versions
         self.known_hosts = known_hosts
+        self.endpoints_read_ms_ago = endpoints_read_ms_ago
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -493,6 +496,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.I32:
+                    self.endpoints_read_ms_ago = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -582,6 +590,10 @@
                 oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.endpoints_read_ms_ago is not None:
+            oprot.writeFieldBegin('endpoints_read_ms_ago', TType.I32, 17)
+            oprot.writeI32(self.endpoints_read_ms_ago)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -706,6 +718,7 @@
      - version
      - rows
      - confirmed_ms_ago
+     - whole
 
     """
 
@@ -714,14 +727,16 @@
         'version',
         'rows',
         'confirmed_ms_ago',
+        'whole',
     )
 
 
-    def __init__(self, name=None, version=None, rows=None, confirmed_ms_ago=None,):
+    def __init__(self, name=None, version=None, rows=None, confirmed_ms_ago=None, whole=None,):
         self.name = name
         self.version = version
         self.rows = rows
         self.confirmed_ms_ago = confirmed_ms_ago
+        self.whole = whole
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -758,6 +773,11 @@
                     self.confirmed_ms_ago = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -787,6 +807,10 @@
             oprot.writeFieldBegin('confirmed_ms_ago', TType.I32, 4)
             oprot.writeI32(self.confirmed_ms_ago)
             oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 5)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1007,6 +1031,7 @@
     (14, TType.LIST, 'crashes', (TType.STRUCT, [CrashMark, None], False), None, ),  # 14
     (15, TType.LIST, 'versions', (TType.STRUCT, [VersionCount, None], False), None, ),  # 15
     (16, TType.LIST, 'known_hosts', (TType.STRING, 'UTF8', False), None, ),  # 16
+    (17, TType.I32, 'endpoints_read_ms_ago', None, None, ),  # 17
 )
 all_structs.append(Row)
 Row.thrift_spec = (
@@ -1022,6 +1047,7 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.LIST, 'rows', (TType.STRUCT, [Row, None], False), None, ),  # 3
     (4, TType.I32, 'confirmed_ms_ago', None, None, ),  # 4
+    (5, TType.BOOL, 'whole', None, None, ),  # 5
 )
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
--- a/libs/gateway/src/dandelionlead/gateway/mirror.py
+++ b/libs/gateway/src/dandelionlead/gateway/mirror.py
@@ -31,15 +31,23 @@
         version: All changes up to here are known; -1 before the first read.
         changed_version: Version of the last change.
         confirmed_s: When the store was last known to hold nothing newer.
+        read_s: When this process itself last read it.
     """
 
-    __slots__ = ("rows", "version", "changed_version", "confirmed_s")
+    __slots__ = (
+        "rows",
+        "version",
+        "changed_version",
+        "confirmed_s",
+        "read_s",
+    )
 
     def __init__(self) -> None:
         self.rows: dict[str, Row] = {}
         self.version = -1
         self.changed_version = -1
         self.confirmed_s = float("-inf")
+        self.read_s = float("-inf")
 
 
 class Mirror:
--- a/libs/gateway/src/dandelionlead/gateway/model.py
+++ b/libs/gateway/src/dandelionlead/gateway/model.py
@@ -257,6 +257,16 @@
         """Host and port."""
         return self.host, self.port
 
+    def differs(self, other: Endpoint) -> bool:
+        """Whether a choice could come out differently with the other one."""
+        own = (self.address, self.service, self.draining, self.born_ms)
+        return own != (
+            other.address,
+            other.service,
+            other.draining,
+            other.born_ms,
+        )
+
 
 class RolloutOrder:
     """The operator's order to move a service to a version."""
--- a/libs/gateway/src/dandelionlead/gateway/peers.py
+++ b/libs/gateway/src/dandelionlead/gateway/peers.py
@@ -165,11 +165,13 @@
             if table is None or table.version < known:
                 continue
             ago_ms = int(min(1e9, (now_s - table.confirmed_s) * 1e3))
+            whole = table.changed_version > known
             rows = [
                 ttypes.Row(row.key, row.value, row.version)
                 for row in table.rows.values()
+                if whole
             ]
-            found.append(ttypes.Table(name, table.version, rows, ago_ms))
+            found.append(ttypes.Table(name, table.version, rows, ago_ms, whole))
         return found
 
 
--- a/libs/gateway/src/dandelionlead/gateway/view.py
+++ b/libs/gateway/src/dandelionlead/gateway/view.py
@@ -63,14 +63,16 @@
         self.table = routes.RouteTable(configuration.routes)
         return True
 
-    def set_endpoint(self, endpoint: model.Endpoint) -> None:
-        """Takes an endpoint's entry."""
+    def set_endpoint(self, endpoint: model.Endpoint) -> bool:
+        """Takes an endpoint's entry; returns whether it matters to choices."""
+        known = self.endpoints.get(endpoint.endpoint_id)
         left = self._leaving.get(endpoint.endpoint_id)
         if left is not None and left.is_undone_by(endpoint):
             del self._leaving[endpoint.endpoint_id]
         self.endpoints[endpoint.endpoint_id] = endpoint
         if endpoint.draining:
             self.leaving(endpoint.endpoint_id)
+        return known is None or known.differs(endpoint)
 
     def drop_endpoint(self, endpoint_id: str) -> None:
         """Takes note that an endpoint's entry is gone."""
