--- a/libs/gateway/src/dandelionlead/gateway/runs.py
+++ b/libs/gateway/src/dandelionlead/gateway/runs.py
@@ -127,6 +127,9 @@
     def add(self, run: Run) -> None:
         """Takes a run into care; moves it at once if its engine leaves."""
         self._runs.setdefault(run.endpoint.endpoint_id, set()).add(run)
+        backup = run.backup_at
+        if backup is not None and self._view.is_leaving(backup.endpoint_id):
+            self.drop_backup(run)
         if self._view.is_leaving(run.endpoint.endpoint_id):
             self._begin(run)
 
@@ -148,7 +151,14 @@
 
     def notice(self, endpoint_id: str) -> None:
         """Moves all runs of an engine that leaves, and forgets its copies."""
-        for run in list(self._runs.get(endpoint_id, ())):
+        found = list(self._runs.get(endpoint_id, ()))
+        self._log.event(
+            "endpoint_leaves",
+            endpoint=endpoint_id,
+            runs=len(found),
+            backed_up=sum(run.backup_at is not None for run in found),
+        )
+        for run in found:
             self._begin(run)
         for runs in list(self._runs.values()):
             for run in runs:
