--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -152,7 +152,7 @@
             fields["run"] = failure.run.value
             fields["reason"] = failure.reason
         route = admitted.route.name if admitted else ""
-        outcome = failure.kind.value if failure else "answered"
+        outcome = "answered" if failure is None else failure.kind.value
         self._metrics.count(f'calls_total{{outcome="{outcome}"}}')
         self._metrics.record("call_seconds", took_s)
         self._log.event(
@@ -224,7 +224,8 @@
             first_s = max(0.0, outcome.first_s - self._call.arrived_s)
             fields["first_ms"] = int(first_s * 1e3)
             self._last = outcome.last_endpoint or self._last
-            failure = failure or outcome.failure
+            if failure is None:
+                failure = outcome.failure
             if outcome.complete:
                 failure = None
         self._gateway._account(
@@ -249,7 +250,8 @@
             admitted.service, tokens, now_s, excluded=self._tried
         )
         if endpoint is None:
-            self._failure = self._failure or self._no_endpoint()
+            if self._failure is None:
+                self._failure = self._no_endpoint()
             return False
         if self._tried and not gateway._places.may_resend(
             admitted.service.name, now_s
--- /dev/null
+++ b/libs/gateway/tests/test_state.py
@@ -0,0 +1,207 @@
+"""Guards against state that goes back, is lost, or stays too long."""
+
+from __future__ import annotations
+
+import unittest
+
+from dandelionlead.core import errors
+from dandelionlead.gateway import mirror
+from dandelionlead.gateway import model
+from dandelionlead.gateway import roster
+from dandelionlead.gateway import sse
+from dandelionlead.gateway import standing
+from dandelionlead.gateway import view
+from dandelionlead.gateway.gen import ttypes
+
+
+def _endpoint(
+    *, draining: bool = False, born_ms: int = 1, zone: str = "a"
+) -> model.Endpoint:
+    return model.Endpoint(
+        "e", "s", "10.0.0.1", 80, zone, draining=draining, born_ms=born_ms
+    )
+
+
+def _configuration(version: int) -> model.Configuration:
+    return model.Configuration(version, (), {}, model.Limits(), None)
+
+
+class ViewTest(unittest.TestCase):
+    """New work at an endpoint that leaves, or at a closed zone."""
+
+    def _open(self, known: view.View) -> int:
+        return len(known.open_endpoints("s"))
+
+    def test_notice_stands_against_a_late_entry(self) -> None:
+        known = view.View()
+        known.set_endpoint(_endpoint())
+        told = []
+        known.notices.append(told.append)
+        known.leaving("e")
+        known.set_endpoint(_endpoint())
+        self.assertEqual(self._open(known), 0)
+        known.leaving("e")
+        self.assertEqual(told, ["e"])
+
+    def test_lost_entry_that_is_back_is_used_again(self) -> None:
+        known = view.View()
+        known.set_endpoint(_endpoint())
+        known.drop_endpoint("e")
+        self.assertTrue(known.is_leaving("e"))
+        known.set_endpoint(_endpoint())
+        self.assertEqual(self._open(known), 1)
+
+    def test_another_start_under_the_same_id_is_new(self) -> None:
+        known = view.View()
+        known.set_endpoint(_endpoint(draining=True))
+        known.set_endpoint(_endpoint(born_ms=2))
+        self.assertEqual(self._open(known), 1)
+
+    def test_closed_zone(self) -> None:
+        known = view.View()
+        known.set_endpoint(_endpoint(zone="b"))
+        known.closed_zones = frozenset({"b"})
+        self.assertEqual(self._open(known), 0)
+
+    def test_configuration_never_goes_back(self) -> None:
+        known = view.View()
+        self.assertTrue(known.configure(_configuration(7)))
+        self.assertFalse(known.configure(_configuration(6)))
+        self.assertFalse(known.configure(_configuration(7)))
+        self.assertEqual(known.configuration.version, 7)
+
+
+class MirrorTest(unittest.TestCase):
+    """A stale read or a late copy of a peer that undoes a change."""
+
+    def setUp(self) -> None:
+        self.seen: list[tuple[str, bytes | None]] = []
+        self.tables = mirror.Mirror(
+            ("op",), lambda _, row: self.seen.append((row.key, row.value))
+        )
+
+    def test_older_whole_table_is_refused(self) -> None:
+        self.tables.replace("op", [mirror.Row("k", b"2", 20)], 20, 1.0)
+        taken = self.tables.replace("op", [mirror.Row("k", b"1", 10)], 15, 2.0)
+        self.assertFalse(taken)
+        self.assertEqual(self.seen, [("k", b"2")])
+
+    def test_row_that_vanished_during_a_gap_is_dropped(self) -> None:
+        self.tables.replace("op", [mirror.Row("k", b"1", 10)], 10, 1.0)
+        self.tables.replace("op", [], 12, 2.0)
+        self.assertEqual(self.seen[-1], ("k", None))
+
+    def test_the_same_change_is_told_once(self) -> None:
+        row = mirror.Row("k", b"1", 10)
+        self.tables.change("op", [row], 10, 1.0)
+        self.tables.change("op", [row], 11, 2.0)
+        self.tables.change("op", [mirror.Row("k", None, 12)], 12, 3.0)
+        self.tables.change("op", [mirror.Row("k", None, 12)], 12, 3.0)
+        self.assertEqual(self.seen, [("k", b"1"), ("k", None)])
+
+
+class RosterTest(unittest.TestCase):
+    """Callers are sent to a process that died; old word beats new."""
+
+    def _beat(self, **fields: object) -> ttypes.Heartbeat:
+        given = {
+            "node": "n",
+            "incarnation": 1,
+            "sequence": 1,
+            "host": "10.0.0.2",
+            "front": "10.0.0.2:80",
+            "ready": True,
+            "stopping": False,
+            "orders_version": 5,
+            "confirmed_ms_ago": 0,
+            "known_hosts": ["10.0.0.3"],
+        }
+        return ttypes.Heartbeat(**(given | fields))
+
+    def setUp(self) -> None:
+        self.known = roster.Roster("own", "10.0.0.1")
+
+    def test_silent_or_stopping_processes_are_not_named(self) -> None:
+        self.known.hear(self._beat(), 10.0)
+        self.assertEqual(self.known.ready_fronts(11.0), ["10.0.0.2:80"])
+        self.assertEqual(self.known.ready_fronts(13.0), [])
+        self.known.hear(self._beat(sequence=2, stopping=True), 14.0)
+        self.assertEqual(self.known.ready_fronts(14.1), [])
+
+    def test_only_later_word_counts(self) -> None:
+        table = ((1, 2, True), (1, 1, False), (2, 1, True), (1, 9, False))
+        for incarnation, sequence, news in table:
+            beat = self._beat(incarnation=incarnation, sequence=sequence)
+            with self.subTest(incarnation=incarnation, sequence=sequence):
+                self.assertEqual(self.known.hear(beat, 1.0), news)
+
+    def test_addresses_spread(self) -> None:
+        self.known.hear(self._beat(known_hosts=["10.0.0.3", "10.0.0.1"]), 1.0)
+        self.assertEqual(self.known.hosts(), ["10.0.0.2", "10.0.0.3"])
+
+    def test_confirmation_of_a_peer_that_knows_no_more(self) -> None:
+        self.known.hear(self._beat(confirmed_ms_ago=500), 10.0)
+        self.assertEqual(self.known.latest_confirmation(10.0, 5), 9.5)
+        newer = self.known.latest_confirmation(10.0, 4)
+        self.assertEqual(newer, float("-inf"))
+
+
+class StandingTest(unittest.TestCase):
+    """A process that was cut off alone goes on with old rules for long."""
+
+    def test_table(self) -> None:
+        table = (
+            # alone, confirmed at, now, kind of refusal
+            (False, 0.0, 100.0, None),
+            (True, 0.0, 5.0, None),
+            (True, 0.0, 11.0, errors.Kind.STALE_RULES),
+        )
+        for alone, confirmed_s, now_s, kind in table:
+            known = view.View()
+            known.configure(_configuration(1))
+            known.confirmed_s = confirmed_s
+            state = standing.Standing(0.0)
+            state.alone = alone
+            with self.subTest(alone=alone, now_s=now_s):
+                failure = state.refusal(now_s, known)
+                found = None if failure is None else failure.kind
+                self.assertEqual(found, kind)
+
+    def test_no_configuration_is_a_true_refusal(self) -> None:
+        failure = standing.Standing(0.0).refusal(1.0, view.View())
+        self.assertEqual(failure.kind, errors.Kind.NOT_READY)
+        self.assertEqual(failure.run, errors.Run.NOT_RUN)
+
+    def test_not_ready_while_stopping(self) -> None:
+        known = view.View()
+        known.configure(_configuration(1))
+        known.set_endpoint(_endpoint())
+        state = standing.Standing(0.0)
+        self.assertTrue(state.ready(1.0, known))
+        state.stopping = True
+        self.assertFalse(state.ready(1.0, known))
+
+
+class EventSplitterTest(unittest.TestCase):
+    """Half an event reaches the caller, or an id is missed."""
+
+    def test_table(self) -> None:
+        table = (
+            ([b"id: 1\ndata: a\n\n"], 1, 1, b""),
+            ([b"id: 1\nda", b"ta: a\n\nid: 2\n"], 1, 1, b"id: 2\n"),
+            ([b"id: 1\n\nid: 2\n\n"], 2, 2, b""),
+            ([b"data: id: 9\n\n"], 0, 0, b""),
+            ([b"id: 3\n", b"\n"], 3, 1, b""),
+        )
+        for parts, last_id, events, tail in table:
+            splitter = sse.EventSplitter()
+            whole = b"".join(splitter.feed(part) for part in parts)
+            with self.subTest(parts=parts):
+                self.assertEqual(whole + tail, b"".join(parts))
+                self.assertEqual(splitter.last_id, last_id)
+                self.assertEqual(splitter.events, events)
+                self.assertEqual(splitter.tail, tail)
+
+
+if __name__ == "__main__":
+    unittest.main()
