--- a/libs/gateway/src/dandelionlead/gateway/callers.py
+++ b/libs/gateway/src/dandelionlead/gateway/callers.py
@@ -141,8 +141,12 @@
     def close_if_idle(self) -> None:
         """Ends the connection unless a request is under way."""
         if self.idle:
-            with contextlib.suppress(OSError):
-                self._sock.shutdown(socket.SHUT_RDWR)
+            self.shut()
+
+    def shut(self) -> None:
+        """Ends the connection; a request under way is cut."""
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
 
     def response(self, status: int, headers: channel.Headers) -> bytes:
         """Encodes the head of an answer."""
@@ -351,6 +355,12 @@
         for conn in list(self.connections):
             conn.close_if_idle()
 
+    def close(self) -> None:
+        """Closes the listening socket and all connections."""
+        self._sock.close()
+        for conn in list(self.connections):
+            conn.shut()
+
     def busy(self) -> int:
         """Returns the number of requests under way."""
         return sum(not conn.idle for conn in self.connections)
--- a/libs/gateway/src/dandelionlead/gateway/peers.py
+++ b/libs/gateway/src/dandelionlead/gateway/peers.py
@@ -71,14 +71,19 @@
         self._udp.bind(address)
         self._tcp = callers.listen(address)
         self._soon = None
+        self._closed = False
         self._sent_s = 0.0
         self.unreadable = 0
 
-    def start(self) -> None:
-        """Starts listening and sending."""
-        eventlet.spawn_n(self._receive)
-        eventlet.spawn_n(self._accept)
-        eventlet.spawn_n(self._send_regularly)
+    def loops(self) -> tuple[Callable[[], None], ...]:
+        """Returns what runs for as long as the process."""
+        return self._receive, self._accept, self._send_regularly
+
+    def close(self) -> None:
+        """Closes the sockets; peers hear nothing more."""
+        self._closed = True
+        self._udp.close()
+        self._tcp.close()
 
     def changed(self) -> None:
         """Tells the peers of a change soon."""
@@ -90,6 +95,8 @@
     def send(self) -> None:
         """Sends a heartbeat to all peers."""
         self._soon = None
+        if self._closed:
+            return
         self._sent_s = clock.boottime()
         data = encode(self._describe())
         for host in self._roster.hosts():
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -22,6 +22,7 @@
 _EXCLUSIVE_SUFFIX = "_process.py"
 _FUZZ_SUFFIX = "_fuzz.py"
 _WORKERS = 4
+_TEST_PATTERNS = ("libs/*/tests/test_*.py", "platform/tests/test_*.py")
 _RESULT_MARK = "RESULT "
 _DEFAULT_EXAMPLES = 60
 
@@ -35,7 +36,7 @@
     if args.child:
         return _run_child(pathlib.Path(args.child))
     files = [pathlib.Path(name).resolve() for name in args.files] or sorted(
-        _ROOT.glob("libs/*/tests/test_*.py")
+        path for pattern in _TEST_PATTERNS for path in _ROOT.glob(pattern)
     )
     if args.fuzz_only:
         files = [path for path in files if path.name.endswith(_FUZZ_SUFFIX)]
