--- a/libs/gateway/src/dandelionlead/gateway/callers.py
+++ b/libs/gateway/src/dandelionlead/gateway/callers.py
@@ -200,6 +200,7 @@
         self.method = bytes(event.method)
         headers = [(bytes(k), bytes(v)) for k, v in event.headers.raw_items()]
         _check_framing(headers)
+        _check_size(headers, limits.max_header_bytes)
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             self.write_until_s = arrived_s + limits.header_timeout_s
@@ -338,6 +339,11 @@
         self._sock = listen(address)
         self.connections: set[CallerConnection] = set()
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self._sock.getsockname()
+
     def run(self) -> None:
         """Accepts until the socket is closed."""
         while True:
@@ -399,3 +405,12 @@
         raise h11.RemoteProtocolError("the length of the body is ambiguous")
     if names.count(b"content-length") > 1 or names.count(b"host") > 1:
         raise h11.RemoteProtocolError("a header stands twice")
+
+
+def _check_size(headers: channel.Headers, max_bytes: int) -> None:
+    """Refuses a head that came whole at once and is too large."""
+    size = sum(len(name) + len(value) + 4 for name, value in headers)
+    if size > max_bytes:
+        raise h11.RemoteProtocolError(
+            "the head is too large", error_status_hint=431
+        )
