--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import random
+import traceback
+
+import eventlet
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
@@ -20,6 +23,7 @@
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import standing
 from dandelionlead.gateway import view
+from dandelionlead.gateway import waiting
 
 # Endpoints that one call is offered to before it is refused.
 _MAX_OFFERS = 5
@@ -34,9 +38,14 @@
 _STREAM_LATE_FACTOR = 1.7
 # The first event is expected after so many times the mean.
 _FIRST_EVENT_MARGIN = 1.6
+# New runs leave the rest of an engine's memory to runs that have to move.
+# Short runs may wait in the engine for memory that is about to be free.
+_RUN_FILL = 0.92
+_SHORT_RUN_FILL = 1.1
+_ROOM_POLL_S = 0.02
 # Callers come back after a refusal once work has ended somewhere.
 _RETRY_AFTER_PLAIN_S = 0.1
-_RETRY_AFTER_STREAM_S = 0.5
+_RETRY_AFTER_STREAM_S = 1.5
 
 
 class Gateway(callers.Handler):
@@ -63,6 +72,7 @@
         self._log = log
         self._metrics = numbers
         self._rng = rng
+        self._queues: dict[str, waiting.Queue] = {}
 
     def limits(self) -> model.Limits:
         """Returns the limits in force."""
@@ -73,6 +83,10 @@
         """Whether connections are closed after their present request."""
         return self._state.stopping
 
+    def queue(self, service: str) -> waiting.Queue:
+        """Returns the calls that wait for room on a service."""
+        return self._queues.setdefault(service, waiting.Queue())
+
     def handle(self, request: callers.Request, reply: callers.Reply) -> None:
         """Answers one request."""
         call = self._words.read_call(
@@ -91,9 +105,24 @@
         exchange = _Exchange(self, admitted, reply)
         try:
             exchange.run()
+        except callers.CallerGoneError:
+            raise
+        except Exception as exc:  # A fault of ours; the caller hears of it.
+            self._fail(reply, call, exc)
         finally:
             exchange.close()
 
+    def _fail(
+        self, reply: callers.Reply, call: calls.Call, exc: Exception
+    ) -> None:
+        """Answers a call that met a fault in this program."""
+        trace = traceback.format_exc(limit=-4)
+        self._log.event("fault", req=call.request_id, reason=trace)
+        if reply.started:
+            raise callers.CallerGoneError("the answer is torn") from exc
+        failure = errors.Failure(errors.Kind.INTERNAL, repr(exc))
+        self._refuse(reply, failure, call.request_id)
+
     def _admit(self, call: calls.Call) -> calls.Admitted | errors.Failure:
         """Finds route, team and service of a call."""
         configuration = self._view.configuration
@@ -247,9 +276,8 @@
         if now_s >= admitted.until_s:
             return False
         tokens = self._call.expected_tokens()
-        endpoint = gateway._places.choose(
-            admitted.service, tokens, now_s, excluded=self._tried
-        )
+        endpoint = self._find_endpoint(tokens)
+        now_s = clock.boottime()
         if endpoint is None:
             if self._failure is None:
                 self._failure = self._no_endpoint()
@@ -303,6 +331,41 @@
                 if started is not None:
                     started.conn.close()
 
+    def _find_endpoint(self, tokens: int) -> model.Endpoint | None:
+        """Returns an endpoint; waits for one with room for a generation."""
+        gateway = self._gateway
+        admitted = self._admitted
+        places = gateway._places
+        engine = admitted.service.engine
+        if engine is None or not places.any_open(admitted.service.name):
+            return places.choose(
+                admitted.service,
+                tokens,
+                clock.boottime(),
+                excluded=self._tried,
+            )
+        expected_s = places.pace.expected_s(self._call.prompt_tokens)
+        place = waiting.Place(admitted, expected_s, clock.boottime())
+        queue = gateway.queue(admitted.service.name)
+        fill = _SHORT_RUN_FILL if admitted.route.repeatable else _RUN_FILL
+        queue.enter(place)
+        try:
+            while (now_s := clock.boottime()) < place.give_up_s:
+                if queue.is_next(place, now_s):
+                    found = places.choose(
+                        admitted.service,
+                        tokens,
+                        now_s,
+                        excluded=self._tried,
+                        fill=fill,
+                    )
+                    if found is not None:
+                        return found
+                eventlet.sleep(_ROOM_POLL_S)
+            return None
+        finally:
+            queue.leave(place)
+
     def _patience(self, endpoint: model.Endpoint, now_s: float) -> float:
         """Returns the instant up to which one endpoint is waited for."""
         admitted = self._admitted
--- a/libs/gateway/src/dandelionlead/gateway/placement.py
+++ b/libs/gateway/src/dandelionlead/gateway/placement.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 
 from dandelionlead.core import hashing
 from dandelionlead.gateway import budget
@@ -39,6 +40,30 @@
         self.members = members
 
 
+class _Wanted:
+    """Work that looks for an endpoint."""
+
+    __slots__ = ("service", "tokens", "excluded", "fill")
+
+    def __init__(
+        self,
+        service: model.Service,
+        tokens: int,
+        excluded: Collection[str],
+        fill: float | None,
+    ) -> None:
+        self.service = service
+        self.tokens = tokens
+        self.excluded = excluded
+        self.fill = fill
+
+    def fits(self, load: loads.Load) -> bool:
+        """Whether an endpoint with this load has room."""
+        if self.fill is None:
+            return True
+        return choice.has_room(load, self.service, self.tokens, fill=self.fill)
+
+
 class Placement:
     """Chooses endpoints and keeps the bounds that hold for them.
 
@@ -93,27 +118,13 @@
             near: Availability zone that is preferred; the own one if empty.
             far_cost: What an endpoint in another zone costs more.
         """
-        totals = self.loads.totals(now_s)
-        candidates = []
-        for endpoint in self._view.open_endpoints(service.name):
-            endpoint_id = endpoint.endpoint_id
-            if endpoint_id in excluded:
-                continue
-            if not self._bears_more(endpoint, service, now_s):
-                continue
-            load = totals.get(endpoint_id) or loads.Load()
-            if fill is not None and not choice.has_room(
-                load, service, tokens, fill=fill
-            ):
-                continue
-            candidates.append(
-                choice.Candidate(
-                    endpoint,
-                    load,
-                    self.health.failure_share(endpoint_id, now_s),
-                    self.health.paused(endpoint_id, now_s),
-                )
-            )
+        wanted = _Wanted(service, tokens, excluded, fill)
+        opened = self._view.open_endpoints(service.name)
+        candidates = self._candidates(opened, wanted, now_s)
+        if all(item.paused for item in candidates):
+            # A zone that was closed a moment ago may still help out.
+            closing = self._view.closing_endpoints(service.name, now_s)
+            candidates += self._candidates(closing, wanted, now_s)
         return choice.choose(
             candidates,
             service,
@@ -123,6 +134,10 @@
             far_cost=far_cost,
         )
 
+    def any_open(self, service: str) -> bool:
+        """Whether a service has an endpoint that may get work."""
+        return bool(self._view.open_endpoints(service))
+
     def backlog(self, endpoint: model.Endpoint, now_s: float) -> int:
         """Returns the prompt tokens that an engine has yet to read."""
         load = self.loads.totals(now_s).get(endpoint.endpoint_id)
@@ -151,6 +166,29 @@
         processes = len(self._cluster.members())
         return self.retries.take(service, now_s, processes, part=part)
 
+    def _candidates(
+        self,
+        endpoints: Iterable[model.Endpoint],
+        wanted: _Wanted,
+        now_s: float,
+    ) -> list[choice.Candidate]:
+        """Returns those of the endpoints that may take the work."""
+        totals = self.loads.totals(now_s)
+        found = []
+        for endpoint in endpoints:
+            endpoint_id = endpoint.endpoint_id
+            if endpoint_id in wanted.excluded:
+                continue
+            if not self._bears_more(endpoint, wanted.service, now_s):
+                continue
+            load = totals.get(endpoint_id) or loads.Load()
+            if not wanted.fits(load):
+                continue
+            failures = self.health.failure_share(endpoint_id, now_s)
+            paused = self.health.paused(endpoint_id, now_s)
+            found.append(choice.Candidate(endpoint, load, failures, paused))
+        return found
+
     def _bears_more(
         self, endpoint: model.Endpoint, service: model.Service, now_s: float
     ) -> bool:
--- a/libs/gateway/src/dandelionlead/gateway/view.py
+++ b/libs/gateway/src/dandelionlead/gateway/view.py
@@ -11,6 +11,9 @@
 
 
 _MOST_LEAVING = 1_000
+# A zone that is taken out may get work for some seconds; this leaves time for
+# the order to have reached this process late.
+CLOSING_GRACE_S = 2.0
 
 
 class _Leaving:
@@ -38,7 +41,8 @@
         configuration: The newest configuration; None before the first.
         table: Its routes.
         endpoints: Endpoints by id.
-        closed_zones: Availability zones that get no work.
+        closed_zones: Availability zones that get no work, and when this
+            process learnt of it.
         rollouts: Orders by service.
         confirmed_s: When the platform or a peer last confirmed all this.
         notices: Called with the id of an endpoint that begins to leave.
@@ -48,7 +52,7 @@
         self.configuration: model.Configuration | None = None
         self.table = routes.RouteTable(())
         self.endpoints: dict[str, model.Endpoint] = {}
-        self.closed_zones: frozenset[str] = frozenset()
+        self.closed_zones: dict[str, float] = {}
         self.rollouts: dict[str, model.RolloutOrder] = {}
         self.confirmed_s = float("-inf")
         self.notices: list[Callable[[str], None]] = []
@@ -114,11 +118,31 @@
 
     def open_endpoints(self, service: str) -> list[model.Endpoint]:
         """Returns the endpoints of a service that may get new work."""
+        return [
+            endpoint
+            for endpoint in self._staying(service)
+            if endpoint.availability_zone not in self.closed_zones
+        ]
+
+    def closing_endpoints(
+        self, service: str, now_s: float
+    ) -> list[model.Endpoint]:
+        """Returns those in zones that were closed a moment ago.
+
+        They take work that no other endpoint can take.
+        """
+        return [
+            endpoint
+            for endpoint in self._staying(service)
+            if now_s - self.closed_zones.get(endpoint.availability_zone, now_s)
+            < CLOSING_GRACE_S
+        ]
+
+    def _staying(self, service: str) -> list[model.Endpoint]:
         return [
             endpoint
             for endpoint in self.endpoints.values()
             if endpoint.service == service
             and not endpoint.draining
             and endpoint.endpoint_id not in self._leaving
-            and endpoint.availability_zone not in self.closed_zones
         ]
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -60,8 +60,10 @@
     def test_closed_zone(self) -> None:
         known = view.View()
         known.set_endpoint(_endpoint(zone="b"))
-        known.closed_zones = frozenset({"b"})
+        known.closed_zones = {"b": 10.0}
         self.assertEqual(self._open(known), 0)
+        self.assertEqual(len(known.closing_endpoints("s", 11.0)), 1)
+        self.assertEqual(known.closing_endpoints("s", 12.5), [])
 
     def test_configuration_never_goes_back(self) -> None:
         known = view.View()
