--- a/libs/gateway/src/dandelionlead/gateway/reading.py
+++ b/libs/gateway/src/dandelionlead/gateway/reading.py
@@ -39,6 +39,10 @@
         self.name = name
         self.confirmed_ago_s = confirmed_ago_s
 
+    def is_fresh(self) -> bool:
+        """Whether its reads succeed."""
+        return 0 <= self.confirmed_ago_s <= FRESH_S
+
 
 def duty(own_name: str, peers: Iterable[Candidate]) -> Duty:
     """Returns the duty of a process.
@@ -48,9 +52,11 @@
             process whose own reads fail still tries.
         peers: The other live processes.
     """
-    names = [
-        peer.name for peer in peers if 0 <= peer.confirmed_ago_s <= FRESH_S
-    ]
+    found = list(peers)
+    names = [peer.name for peer in found if peer.is_fresh()]
+    if not names:
+        # Nobody can read; the work that is left is shared all the same.
+        names = [peer.name for peer in found]
     ranked = hashing.rank(_DUTY, [own_name, *names])
     place = ranked.index(own_name)
     return (Duty.FIRST, Duty.SECOND, Duty.OTHER)[min(place, 2)]
