--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -142,11 +142,7 @@
                 return errors.Failure(
                     errors.Kind.UNAUTHORIZED, "the key belongs to no team"
                 )
-        if (
-            self._state.stopping
-            and route.kind is model.CallKind.STREAMING
-            and call.max_output_tokens
-        ):
+        if not self._state.can_finish(call, now_s):
             return errors.Failure(
                 errors.Kind.NOT_READY, "this process stops", retry_after_s=0.05
             )
--- a/libs/gateway/src/dandelionlead/gateway/standing.py
+++ b/libs/gateway/src/dandelionlead/gateway/standing.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from dandelionlead.core import errors
+from dandelionlead.gateway import calls
 from dandelionlead.gateway import view
 
 # A process that hears neither the platform nor a peer that does keeps on with
 # what it knows for so long. An outage of the platform that hits all does not
 # count: the peers say so.
 STALE_LIMIT_S = 10.0
+# What a generation takes on an engine with many others.
+_FIRST_EVENT_S = 0.6
+_SECONDS_PER_TOKEN = 0.012
 
 
 class Standing:
@@ -16,16 +20,25 @@
 
     Attributes:
         stopping: Whether it was told to stop.
+        stop_s: When it ends at the latest; only while stopping.
         started_s: When it began.
+        alone: Whether it hears no peer.
     """
 
-    __slots__ = ("stopping", "started_s", "alone")
+    __slots__ = ("stopping", "stop_s", "started_s", "alone")
 
     def __init__(self, started_s: float) -> None:
         self.stopping = False
+        self.stop_s = float("inf")
         self.started_s = started_s
         self.alone = False
 
+    def can_finish(self, call: calls.Call, now_s: float) -> bool:
+        """Whether a call can be expected to end before this process does."""
+        tokens = call.expected_tokens() - call.prompt_tokens
+        expected_s = _FIRST_EVENT_S + tokens * _SECONDS_PER_TOKEN
+        return now_s + expected_s < self.stop_s
+
     def refusal(self, now_s: float, known: view.View) -> errors.Failure | None:
         """Returns why no call may be taken now, or None."""
         if known.configuration is None:
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -5,6 +5,7 @@
 import unittest
 
 from dandelionlead.core import errors
+from dandelionlead.gateway import calls
 from dandelionlead.gateway import mirror
 from dandelionlead.gateway import model
 from dandelionlead.gateway import roster
@@ -174,6 +175,34 @@
         self.assertEqual(failure.kind, errors.Kind.NOT_READY)
         self.assertEqual(failure.run, errors.Run.NOT_RUN)
 
+    def test_a_stopping_process_takes_what_it_can_finish(self) -> None:
+        state = standing.Standing(0.0)
+        state.stop_s = 107.0
+        table = (
+            # output tokens, now, whether it is taken
+            (0, 106.0, True),
+            (40, 104.0, True),
+            (900, 100.0, False),
+            (300, 100.0, True),
+            (300, 104.0, False),
+        )
+        for tokens, now_s, taken in table:
+            call = calls.Call(
+                "r",
+                b"POST",
+                b"/",
+                "h",
+                "/",
+                [],
+                prompt_tokens=2_000,
+                max_output_tokens=1_000,
+                hinted_output_tokens=tokens,
+            )
+            if not tokens:
+                call.max_output_tokens = 0
+            with self.subTest(tokens=tokens, now_s=now_s):
+                self.assertEqual(state.can_finish(call, now_s), taken)
+
     def test_not_ready_while_stopping(self) -> None:
         known = view.View()
         known.configure(_configuration(1))
