Refuse requests that crash the endpoints that run them

Cause: such a request is sent again by its caller through any process; nothing bounded the endpoints that it takes. Ruled out: counting each broken connection (spoiled answers would quarantine lookups that many callers share): a crash counts only when the endpoint cannot be reached or is gone without a notice. Test: test_state.CrashTest (fails without the module).

--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -15,6 +15,7 @@
 from dandelionlead.gateway import callers
 from dandelionlead.gateway import calls
 from dandelionlead.gateway import care
+from dandelionlead.gateway import crashes
 from dandelionlead.gateway import dialect
 from dandelionlead.gateway import model
 from dandelionlead.gateway import placement
@@ -213,12 +214,19 @@
         self._outcome: relay.Outcome | None = None
         self._answered = False
         self._kept: tuple[calls.AnswerHead, bytes] | None = None
+        self._print = crashes.fingerprint(admitted)
 
     def run(self) -> None:
         """Offers the call to endpoints until one answers or none is left."""
         now_s = clock.boottime()
         self._gateway._places.first(self._admitted, now_s)
         for _ in range(_MAX_OFFERS):
+            if self._gateway._places.crashes.refused(self._print, now_s):
+                self._failure = errors.Failure(
+                    errors.Kind.REQUEST_QUARANTINED,
+                    "endpoints that ran this request crashed",
+                )
+                break
             if self._offer():
                 self._answered = True
                 return
@@ -397,8 +405,11 @@
             gateway._places.health.answered(
                 endpoint.endpoint_id, now_s, failed=True
             )
+        elif failure.kind is errors.Kind.ENDPOINT_UNREACHABLE:
+            gateway._places.unreachable(endpoint, now_s)
         else:
             gateway._places.health.unreachable(endpoint.endpoint_id, now_s)
+            self._suspect(endpoint.endpoint_id, now_s)
         self._failure = failure
         self._ran += failure.run is not errors.Run.NOT_RUN
         gateway._log.event(
@@ -409,6 +420,13 @@
             reason=failure.reason,
         )
 
+    def _suspect(self, endpoint_id: str, now_s: float) -> None:
+        """Notes that the call was at an endpoint whose connection broke."""
+        if not self._gateway._view.is_leaving(endpoint_id):
+            self._gateway._places.crashes.broke_off(
+                self._print, endpoint_id, now_s
+            )
+
     def _refused(self, started: attempt.Started) -> bool:
         """Whether the endpoint said that it did not run the call."""
         answer = started.answer
@@ -455,9 +473,12 @@
             gateway._places.health.answered(
                 run.endpoint.endpoint_id, now_s, failed=False
             )
+            gateway._places.crashes.ended_well(self._print)
             return True
         self._failure = outcome.failure
         self._ran += 1
+        if outcome.failure.kind is errors.Kind.ENDPOINT_FAILED:
+            self._suspect(run.endpoint.endpoint_id, now_s)
         return False
 
     def _pass_whole(self, started: attempt.Started) -> bool:
--- a/libs/gateway/src/dandelionlead/gateway/placement.py
+++ b/libs/gateway/src/dandelionlead/gateway/placement.py
@@ -11,6 +11,7 @@
 from dandelionlead.gateway import budget
 from dandelionlead.gateway import calls
 from dandelionlead.gateway import choice
+from dandelionlead.gateway import crashes
 from dandelionlead.gateway import health
 from dandelionlead.gateway import loads
 from dandelionlead.gateway import model
@@ -72,6 +73,7 @@
         health: Failures by endpoint.
         retries: The shared budget for second sends.
         pace: How fast engines read prompts.
+        crashes: Requests that crash endpoints.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         self.health = health.HealthBook()
         self.retries = retries
         self.pace = pace.PrefillPace()
+        self.crashes = crashes.CrashBook()
         self._view = known
         self._cluster = cluster
         self._cold = budget.ColdLimit()
@@ -150,6 +153,11 @@
             return "0/0/0"
         return f"{load.runs}/{load.tokens}/{load.prefill}"
 
+    def unreachable(self, endpoint: model.Endpoint, now_s: float) -> None:
+        """Notes that no connection to an endpoint could be opened."""
+        self.health.unreachable(endpoint.endpoint_id, now_s)
+        self.crashes.gone(endpoint.endpoint_id, now_s)
+
     def sent(self, endpoint: model.Endpoint, now_s: float) -> None:
         """Counts a request that is about to be sent."""
         if now_s < endpoint.cold_until_s:
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -6,6 +6,7 @@
 
 from dandelionlead.core import errors
 from dandelionlead.gateway import calls
+from dandelionlead.gateway import crashes
 from dandelionlead.gateway import mirror
 from dandelionlead.gateway import model
 from dandelionlead.gateway import roster
@@ -213,6 +214,50 @@
         self.assertFalse(state.ready(1.0, known))
 
 
+class CrashTest(unittest.TestCase):
+    """A request that crashes every endpoint is sent again and again."""
+
+    def setUp(self) -> None:
+        self.book = crashes.CrashBook()
+
+    def _crash(self, print_: str, endpoint_id: str, at_s: float) -> None:
+        self.book.broke_off(print_, endpoint_id, at_s)
+        self.book.gone(endpoint_id, at_s + 0.5)
+
+    def test_refused_after_three_endpoints(self) -> None:
+        for number in range(crashes.CRASH_LIMIT):
+            self.assertFalse(self.book.refused("bad", 10.0))
+            self._crash("bad", f"e{number}", 10.0)
+        self.assertTrue(self.book.refused("bad", 11.0))
+        self.assertFalse(self.book.refused("other", 11.0))
+
+    def test_one_endpoint_counts_once(self) -> None:
+        for _ in range(5):
+            self._crash("bad", "e", 10.0)
+        self.assertFalse(self.book.refused("bad", 11.0))
+
+    def test_answers_that_break_off_alone_are_no_crash(self) -> None:
+        for number in range(5):
+            self.book.broke_off("same", f"e{number}", 10.0)
+            self.book.gone(f"e{number}", 20.0)
+        self.assertFalse(self.book.refused("same", 21.0))
+
+    def test_evidence_of_peers_counts(self) -> None:
+        other = crashes.CrashBook()
+        for number in range(2):
+            self._crash("bad", f"e{number}", 10.0)
+        other.hear(self.book.marks(), 11.0)
+        other.broke_off("bad", "e9", 11.0)
+        other.gone("e9", 11.2)
+        self.assertTrue(other.refused("bad", 12.0))
+
+    def test_a_run_that_ends_well_clears(self) -> None:
+        for number in range(3):
+            self._crash("good", f"e{number}", 10.0)
+        self.book.ended_well("good")
+        self.assertFalse(self.book.refused("good", 11.0))
+
+
 class EventSplitterTest(unittest.TestCase):
     """Half an event reaches the caller, or an id is missed."""
 
