--- a/libs/core/src/dandelionlead/core/events.py
+++ b/libs/core/src/dandelionlead/core/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import os
 import sys
 
 import logbook
@@ -14,6 +15,8 @@
 RING_EVENTS = 8192
 
 _LINE_FORMAT = "{record.message}"
+# A pipe takes writes of this size whole or not at all.
+_PIPE_LINE_BYTES = 4_096
 
 
 class Event:
@@ -76,6 +79,47 @@
     handler.push_application()
 
 
+class PipeHandler(logbook.Handler):
+    """Writes lines to a descriptor that may be full; never waits for it.
+
+    A line that does not fit is dropped and counted. The next line that fits
+    is preceded by one that tells how many were.
+
+    Attributes:
+        dropped: Lines that were dropped since the last one written.
+        dropped_total: Lines that were dropped at all.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__(logbook.INFO)
+        self._descriptor = descriptor
+        self.dropped = 0
+        self.dropped_total = 0
+        os.set_blocking(descriptor, False)
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Writes one line, or drops it."""
+        line = record.message + "\n"
+        if self.dropped:
+            line = f"event=log_dropped lines={self.dropped}\n{line}"
+        # Longer writes to a pipe could be cut in the middle of a line.
+        data = line.encode(errors="replace")[:_PIPE_LINE_BYTES]
+        try:
+            os.write(self._descriptor, data)
+        except OSError:
+            self.dropped += 1
+            self.dropped_total += 1
+        else:
+            self.dropped = 0
+
+
+def log_to_stdout() -> PipeHandler:
+    """Sends all log lines to standard output without ever waiting."""
+    handler = PipeHandler(sys.stdout.fileno())
+    handler.push_application()
+    return handler
+
+
 def _quote(value: object) -> str:
     if isinstance(value, float):
         return f"{value:.6g}"
--- a/libs/gateway/src/dandelionlead/gateway/budget.py
+++ b/libs/gateway/src/dandelionlead/gateway/budget.py
@@ -28,6 +28,12 @@
         self._firsts: dict[str, collections.deque[float]] = {}
         self._seconds: dict[str, collections.deque[float]] = {}
 
+    def change(self, ratio: float, extra: float, window_s: float) -> None:
+        """Takes other bounds; what was sent counts on."""
+        self._ratio = ratio
+        self._extra = extra
+        self._window_s = window_s
+
     def first(self, service: str, now_s: float) -> None:
         """Counts a caller's request."""
         self._add(self._firsts, service, now_s)
--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -179,6 +179,8 @@
             fields["run"] = failure.run.value
             fields["reason"] = failure.reason
         route = admitted.route.name if admitted else ""
+        configuration = self._view.configuration
+        version = configuration.version if configuration else -1
         outcome = "answered" if failure is None else failure.kind.value
         self._metrics.count(f'calls_total{{outcome="{outcome}"}}')
         self._metrics.record("call_seconds", took_s)
@@ -186,6 +188,7 @@
             "call",
             req=call.request_id,
             route=route,
+            cfg=admitted.configuration_version if admitted else version,
             status=status,
             endpoint=endpoint_id,
             took_ms=int(took_s * 1e3),
--- a/libs/gateway/src/dandelionlead/gateway/loads.py
+++ b/libs/gateway/src/dandelionlead/gateway/loads.py
@@ -59,7 +59,7 @@
         peer_limit_s: A peer's word counts for so long.
 
     Attributes:
-        changed: Called after each change of the own requests.
+        changed: Called after each change of the own generations.
     """
 
     def __init__(self, *, peer_limit_s: float = 3.0) -> None:
@@ -81,7 +81,7 @@
         """
         load = self._own.setdefault(endpoint_id, Load())
         load.add(Load(runs, tokens, prefill))
-        self.changed()
+        self._tell(tokens)
         return Ticket(endpoint_id, tokens, prefill, runs)
 
     def prefilled(self, ticket: Ticket) -> None:
@@ -116,6 +116,11 @@
                 found[peer] = load.unsaved
         return found
 
+    def _tell(self, tokens: int) -> None:
+        """Tells of work that takes memory; short calls wait for a heartbeat."""
+        if tokens:
+            self.changed()
+
     def _mark(self, ticket: Ticket, unsaved: int) -> None:
         if ticket.unsaved != unsaved:
             load = self._own[ticket.endpoint_id]
@@ -130,7 +135,7 @@
         load.add(Load(-ticket.runs, -ticket.tokens, -ticket.prefill))
         if not load.runs and not load.tokens:
             del self._own[ticket.endpoint_id]
-        self.changed()
+        self._tell(ticket.tokens)
 
     def hear(self, peer: str, loads: dict[str, Load], now_s: float) -> None:
         """Takes a peer's word on its own requests; it replaces the last."""
--- a/libs/gateway/tests/test_decisions.py
+++ b/libs/gateway/tests/test_decisions.py
@@ -200,6 +200,13 @@
         book.end(ticket)
         self.assertEqual(len(told), 3)
 
+    def test_short_calls_do_not_flood_the_peers(self) -> None:
+        book = loads.LoadBook()
+        told = []
+        book.changed = lambda: told.append(1)
+        book.end(book.begin("e", 0, 0))
+        self.assertEqual(told, [])
+
     def test_a_copy_takes_memory_but_no_slot(self) -> None:
         book = loads.LoadBook()
         book.begin("e", 100, 0, runs=0)
