--- /dev/null
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -0,0 +1,457 @@
+"""One call from its admission to an endpoint's answer or a true refusal."""
+
+from __future__ import annotations
+
+import eventlet
+
+from dandelionlead.core import clock
+from dandelionlead.core import errors
+from dandelionlead.core import events
+from dandelionlead.gateway import accounting
+from dandelionlead.gateway import attempt
+from dandelionlead.gateway import callers
+from dandelionlead.gateway import calls
+from dandelionlead.gateway import care
+from dandelionlead.gateway import crashes
+from dandelionlead.gateway import model
+from dandelionlead.gateway import placement
+from dandelionlead.gateway import relay
+from dandelionlead.gateway import runs
+from dandelionlead.gateway import view
+from dandelionlead.gateway import waiting
+
+# Endpoints that one call is offered to before it is refused.
+_MAX_OFFERS = 5
+# An idempotent call that is not answered after so many times its objective is
+# sent to another endpoint.
+_PATIENCE_OBJECTIVES = 2.5
+_LEAST_PATIENCE_S = 0.15
+# A stream that may be resumed is sent to another engine while it can still be
+# on time there: after this part of its objective, if the first event should
+# have come by then; or when it is late by this factor.
+_STREAM_PATIENCE_PART = 0.55
+_STREAM_LATE_FACTOR = 1.7
+# The first event is expected after so many times the mean.
+_FIRST_EVENT_MARGIN = 1.6
+# New runs leave the rest of an engine's memory to runs that have to move.
+# Short runs may wait in the engine for memory that is about to be free.
+_RUN_FILL = 0.92
+_SHORT_RUN_FILL = 1.1
+_ROOM_POLL_S = 0.02
+# Callers come back after a refusal once work has ended somewhere.
+_RETRY_AFTER_PLAIN_S = 0.1
+_RETRY_AFTER_STREAM_S = 1.5
+
+
+class Parts:
+    """What the calls of one process share.
+
+    Attributes:
+        places: Chooses endpoints.
+        sender: Sends calls.
+        keeper: Takes care of runs.
+        known: Orders and endpoints.
+        log: Gets a line for each decision.
+        accounts: Writes the line of a finished call, and refusals.
+    """
+
+    __slots__ = (
+        "places",
+        "sender",
+        "keeper",
+        "known",
+        "log",
+        "accounts",
+        "_queues",
+    )
+
+    def __init__(
+        self,
+        places: placement.Placement,
+        sender: attempt.Sender,
+        keeper: care.Care,
+        known: view.View,
+        log: events.Log,
+        accounts: accounting.Accounts,
+    ) -> None:
+        self.places = places
+        self.sender = sender
+        self.keeper = keeper
+        self.known = known
+        self.log = log
+        self.accounts = accounts
+        self._queues: dict[str, waiting.Queue] = {}
+
+    def queue(self, service: str) -> waiting.Queue:
+        """Returns the calls that wait for room on a service."""
+        return self._queues.setdefault(service, waiting.Queue())
+
+
+class Exchange:
+    """One call from its admission to its answer."""
+
+    def __init__(
+        self,
+        parts: Parts,
+        admitted: calls.Admitted,
+        reply: callers.Reply,
+    ) -> None:
+        self._parts = parts
+        self._admitted = admitted
+        self._call = admitted.call
+        self._reply = reply
+        self._tried: set[str] = set()
+        self._ran = 0
+        self._last = ""
+        self._failure: errors.Failure | None = None
+        self._status = 0
+        self._outcome: relay.Outcome | None = None
+        self._answered = False
+        self._kept: tuple[calls.AnswerHead, bytes] | None = None
+        self._print = crashes.fingerprint(admitted)
+
+    def run(self) -> None:
+        """Offers the call to endpoints until one answers or none is left."""
+        now_s = clock.boottime()
+        self._parts.places.first(self._admitted, now_s)
+        for _ in range(_MAX_OFFERS):
+            if self._parts.places.crashes.refused(self._print, now_s):
+                self._failure = errors.Failure(
+                    errors.Kind.REQUEST_QUARANTINED,
+                    "endpoints that ran this request crashed",
+                )
+                break
+            if self._offer():
+                self._answered = True
+                return
+            if not self._may_offer_again():
+                break
+        self._answered = True
+        if self._kept is not None and not self._reply.started:
+            answer, body = self._kept
+            self._status = answer.status
+            self._reply.whole(answer.status, answer.headers, body)
+            return
+        failure = self._final_failure()
+        self._failure = failure
+        if not self._reply.started:
+            self._parts.accounts.refuse(
+                self._reply, failure, self._call.request_id
+            )
+
+    def close(self) -> None:
+        """Writes the line of the call, however it ended."""
+        failure = self._failure
+        fields: dict[str, object] = {}
+        if not self._answered:
+            fields["caller"] = "gone"
+        outcome = self._outcome
+        if outcome is not None:
+            fields["events"] = outcome.events
+            fields["complete"] = outcome.complete
+            fields["gap_ms"] = int(outcome.longest_gap_s * 1e3)
+            fields["moves"] = outcome.moves
+            first_s = max(0.0, outcome.first_s - self._call.arrived_s)
+            fields["first_ms"] = int(first_s * 1e3)
+            self._last = outcome.last_endpoint or self._last
+            if failure is None:
+                failure = outcome.failure
+            if outcome.complete:
+                failure = None
+        self._parts.accounts.call(
+            self._call,
+            self._admitted,
+            failure,
+            self._status,
+            self._last,
+            tries=len(self._tried),
+            **fields,
+        )
+
+    def _offer(self) -> bool:
+        """Sends the call to one endpoint; returns whether it is settled."""
+        parts = self._parts
+        admitted = self._admitted
+        now_s = clock.boottime()
+        if now_s >= admitted.until_s:
+            return False
+        tokens = self._call.expected_tokens()
+        endpoint = self._find_endpoint(tokens)
+        now_s = clock.boottime()
+        if endpoint is None:
+            if self._failure is None:
+                self._failure = self._no_endpoint()
+            return False
+        if self._tried and not parts.places.may_resend(
+            admitted.service.name, now_s
+        ):
+            return False
+        self._tried.add(endpoint.endpoint_id)
+        self._last = endpoint.endpoint_id
+        if tokens:
+            parts.log.event(
+                "attempt",
+                req=self._call.request_id,
+                endpoint=endpoint.endpoint_id,
+                load=parts.places.describe(endpoint, now_s),
+                tokens=tokens,
+            )
+        parts.places.sent(endpoint, now_s)
+        ticket = parts.places.loads.begin(
+            endpoint.endpoint_id, tokens, self._call.prompt_tokens
+        )
+        run = runs.Run(admitted, endpoint, ticket, tokens)
+        run.sent_s = now_s
+        run.queued_tokens = parts.places.backlog(endpoint, now_s)
+        relayed = False
+        started = None
+        parts.keeper.back_up(run)
+        try:
+            started = parts.sender.start(
+                admitted,
+                endpoint,
+                self._patience(endpoint, now_s),
+                backup=run.backup_at,
+            )
+            if isinstance(started, errors.Failure):
+                self._note_failure(endpoint, started)
+                started = None
+                return False
+            if self._refused(started):
+                return False
+            streams = admitted.route.kind is model.CallKind.STREAMING
+            if streams and started.answer.status == 200:
+                relayed = True
+                return self._relay(run, started)
+            return self._pass_whole(started)
+        finally:
+            if not relayed:
+                parts.places.loads.end(ticket)
+                parts.keeper.drop_backup(run)
+                if started is not None:
+                    started.conn.close()
+
+    def _find_endpoint(self, tokens: int) -> model.Endpoint | None:
+        """Returns an endpoint; waits for one with room for a generation."""
+        parts = self._parts
+        admitted = self._admitted
+        places = parts.places
+        engine = admitted.service.engine
+        if engine is None or not places.any_open(admitted.service.name):
+            return places.choose(
+                admitted.service,
+                tokens,
+                clock.boottime(),
+                excluded=self._tried,
+            )
+        expected_s = places.pace.expected_s(self._call.prompt_tokens)
+        place = waiting.Place(admitted, expected_s, clock.boottime())
+        queue = parts.queue(admitted.service.name)
+        fill = _SHORT_RUN_FILL if admitted.route.repeatable else _RUN_FILL
+        queue.enter(place)
+        try:
+            while (now_s := clock.boottime()) < place.give_up_s:
+                if queue.is_next(place, now_s):
+                    found = places.choose(
+                        admitted.service,
+                        tokens,
+                        now_s,
+                        excluded=self._tried,
+                        fill=fill,
+                    )
+                    if found is not None:
+                        return found
+                eventlet.sleep(_ROOM_POLL_S)
+            return None
+        finally:
+            queue.leave(place)
+
+    def _patience(self, endpoint: model.Endpoint, now_s: float) -> float:
+        """Returns the instant up to which one endpoint is waited for."""
+        admitted = self._admitted
+        route = admitted.route
+        if not route.repeatable or self._ran + 1 >= route.max_attempts:
+            return admitted.until_s
+        if route.kind is model.CallKind.STREAMING:
+            wait_s = self._stream_patience_s(endpoint, now_s)
+        else:
+            wait_s = max(
+                _LEAST_PATIENCE_S, _PATIENCE_OBJECTIVES * route.objective_s
+            )
+        return min(admitted.until_s, now_s + wait_s)
+
+    def _stream_patience_s(
+        self, endpoint: model.Endpoint, now_s: float
+    ) -> float:
+        places = self._parts.places
+        expected_s = places.pace.expected_s(places.backlog(endpoint, now_s))
+        objective_s = self._admitted.route.objective_s
+        soon_s = _STREAM_PATIENCE_PART * objective_s
+        if _FIRST_EVENT_MARGIN * expected_s < soon_s:
+            return soon_s
+        return _STREAM_LATE_FACTOR * objective_s
+
+    def _note_failure(
+        self, endpoint: model.Endpoint, failure: errors.Failure
+    ) -> None:
+        parts = self._parts
+        now_s = clock.boottime()
+        if failure.kind is errors.Kind.ENDPOINT_SILENT:
+            # The route's own time may be shorter than the work.
+            parts.places.health.answered(
+                endpoint.endpoint_id, now_s, failed=True
+            )
+        elif failure.kind is errors.Kind.ENDPOINT_UNREACHABLE:
+            parts.places.unreachable(endpoint, now_s)
+        else:
+            parts.places.health.unreachable(endpoint.endpoint_id, now_s)
+            self._suspect(endpoint.endpoint_id, now_s)
+        self._failure = failure
+        self._ran += failure.run is not errors.Run.NOT_RUN
+        parts.log.event(
+            "attempt_failed",
+            req=self._call.request_id,
+            endpoint=endpoint.endpoint_id,
+            kind=failure.kind.value,
+            reason=failure.reason,
+        )
+
+    def _suspect(self, endpoint_id: str, now_s: float) -> None:
+        """Notes that the call was at an endpoint whose connection broke."""
+        if not self._parts.known.is_leaving(endpoint_id):
+            self._parts.places.crashes.broke_off(
+                self._print, endpoint_id, now_s
+            )
+
+    def _refused(self, started: attempt.Started) -> bool:
+        """Whether the endpoint said that it did not run the call."""
+        answer = started.answer
+        if not answer.not_run:
+            return False
+        parts = self._parts
+        now_s = clock.boottime()
+        endpoint_id = started.endpoint.endpoint_id
+        if answer.other_instance:
+            parts.known.drop_endpoint(endpoint_id)
+        body = started.conn.read_all(
+            min(self._admitted.until_s, now_s + 0.2), attempt.MAX_BODY_BYTES
+        )
+        if isinstance(body, bytes):
+            parts.sender.finish(started, reuse=True)
+        self._failure = errors.Failure(
+            errors.Kind.OVERLOADED,
+            f"the endpoint refused with {answer.status}",
+            retry_after_s=self._retry_after_s(),
+        )
+        parts.log.event(
+            "attempt_refused",
+            req=self._call.request_id,
+            endpoint=endpoint_id,
+            status=answer.status,
+        )
+        return True
+
+    def _relay(self, run: runs.Run, started: attempt.Started) -> bool:
+        parts = self._parts
+        relayed = relay.Relay(
+            parts.sender,
+            parts.places,
+            parts.keeper,
+            parts.log,
+            run,
+            self._reply,
+        )
+        self._status = started.answer.status
+        self._outcome = relayed.outcome
+        outcome = relayed.pump(started)
+        now_s = clock.boottime()
+        if outcome.complete:
+            parts.places.health.answered(
+                run.endpoint.endpoint_id, now_s, failed=False
+            )
+            parts.places.crashes.ended_well(self._print)
+            return True
+        self._failure = outcome.failure
+        self._ran += 1
+        if outcome.failure.kind is errors.Kind.ENDPOINT_FAILED:
+            self._suspect(run.endpoint.endpoint_id, now_s)
+        return False
+
+    def _pass_whole(self, started: attempt.Started) -> bool:
+        """Passes a whole answer on, or keeps it back for another try."""
+        parts = self._parts
+        admitted = self._admitted
+        endpoint_id = started.endpoint.endpoint_id
+        body = started.conn.read_all(admitted.until_s, attempt.MAX_BODY_BYTES)
+        now_s = clock.boottime()
+        self._ran += 1
+        if isinstance(body, errors.Failure):
+            parts.places.health.unreachable(endpoint_id, now_s)
+            self._failure = body
+            return False
+        answer = started.answer
+        parts.sender.finish(started, reuse=True)
+        parts.places.health.answered(
+            endpoint_id, now_s, failed=answer.status >= 500
+        )
+        if answer.status >= 500 and self._worth_another(now_s):
+            self._kept = (answer, body)
+            self._failure = errors.Failure(
+                errors.Kind.ENDPOINT_FAILED, f"status {answer.status}"
+            )
+            return False
+        self._status = answer.status
+        self._reply.whole(answer.status, answer.headers, body)
+        return True
+
+    def _worth_another(self, now_s: float) -> bool:
+        admitted = self._admitted
+        route = admitted.route
+        if not route.repeatable or self._ran >= route.max_attempts:
+            return False
+        if admitted.until_s - now_s < route.objective_s / 4:
+            return False
+        places = self._parts.places
+        other = places.choose(admitted.service, 0, now_s, excluded=self._tried)
+        return other is not None
+
+    def _may_offer_again(self) -> bool:
+        """Whether another endpoint may get the call after a failure."""
+        if self._reply.started:
+            return False
+        failure = self._failure
+        if failure is None or failure.kind is errors.Kind.NO_ENDPOINT:
+            return False
+        if failure.run is errors.Run.NOT_RUN:
+            return True
+        route = self._admitted.route
+        return route.repeatable and self._ran < route.max_attempts
+
+    def _no_endpoint(self) -> errors.Failure:
+        return errors.Failure(
+            errors.Kind.NO_ENDPOINT,
+            "no endpoint of the service can take the call",
+            retry_after_s=self._retry_after_s(),
+        )
+
+    def _retry_after_s(self) -> float:
+        if self._admitted.route.kind is model.CallKind.STREAMING:
+            return _RETRY_AFTER_STREAM_S
+        return _RETRY_AFTER_PLAIN_S
+
+    def _final_failure(self) -> errors.Failure:
+        """Returns the failure that the caller is told of, a true one."""
+        failure = self._failure
+        if failure is None:
+            return errors.Failure(
+                errors.Kind.DEADLINE_EXCEEDED, "no time was left"
+            )
+        if self._ran and failure.run is errors.Run.NOT_RUN:
+            return errors.Failure(errors.Kind.ENDPOINT_FAILED, failure.reason)
+        if failure.kind is errors.Kind.ENDPOINT_UNREACHABLE:
+            return errors.Failure(
+                failure.kind,
+                failure.reason,
+                retry_after_s=self._retry_after_s(),
+            )
+        return failure
