Carry out rollouts: exposure, judgement, verdict

Cause: orders to move a service to a version were read and logged only; a bad version would have got its full share. Ruled out: the product's sequential judge and share schedule (they need minutes of traffic; the platform gives about 12 s at 20 calls a second); a lease (a conditional write of a verdict that is never replaced does the same). Change: rollouts.py counts what all processes sent and got back and stays below the operator's bound; platform/verdicts.py writes the state on the condition of the row's version. Tests: test_rollouts, test_path.RolloutTest.

--- a/libs/gateway/gateway.thrift
+++ b/libs/gateway/gateway.thrift
@@ -18,13 +18,24 @@
   2: string endpoint_id
 }
 
-// Answers of one version of a service at one process.
+// Calls of one process to the new or the old version of a service.
 struct VersionCount {
   1: string service_name
-  2: string version
-  3: i32 answers
-  4: i32 failures
-  5: i32 slow
+  // Version of the store at which the rollout was ordered.
+  2: i64 order_version
+  3: bool is_new
+  4: i32 sent
+  5: i32 answers
+  6: i32 failures
+  7: double total_s
+}
+
+// The end of a rollout, as it is written in the store.
+struct Verdict {
+  1: string service_name
+  2: i64 order_version
+  // "completed" or "rolled_back"
+  3: string state
 }
 
 // The whole state that a process tells its peers; a later one replaces an
@@ -55,6 +66,7 @@
   16: list<string> known_hosts
   // Milliseconds since the endpoints were read from the store; negative: never.
   17: i32 endpoints_read_ms_ago
+  18: list<Verdict> verdicts
 }
 
 struct Row {
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -102,6 +102,7 @@
         self._reply = reply
         self._tried: set[str] = set()
         self._ran = 0
+        self._offered_s = 0.0
         self._last = ""
         self._failure: errors.Failure | None = None
         self._status = 0
@@ -186,6 +187,7 @@
             admitted.service.name, now_s
         ):
             return False
+        self._offered_s = now_s
         self._tried.add(endpoint.endpoint_id)
         self._last = endpoint.endpoint_id
         if tokens:
@@ -308,6 +310,8 @@
             self._suspect(endpoint.endpoint_id, now_s)
         self._failure = failure
         self._ran += failure.run is not errors.Run.NOT_RUN
+        took_s = now_s - self._offered_s
+        parts.places.ended(endpoint, took_s, failed=True)
         parts.log.event(
             "attempt_failed",
             req=self._call.request_id,
@@ -365,6 +369,10 @@
         self._outcome = relayed.outcome
         outcome = relayed.pump(started)
         now_s = clock.boottime()
+        first_s = max(0.0, (outcome.first_s or now_s) - self._offered_s)
+        parts.places.ended(
+            started.endpoint, first_s, failed=not outcome.complete
+        )
         if outcome.complete:
             parts.places.health.answered(
                 run.endpoint.endpoint_id, now_s, failed=False
@@ -391,9 +399,10 @@
             return False
         answer = started.answer
         parts.sender.finish(started, reuse=True)
-        parts.places.health.answered(
-            endpoint_id, now_s, failed=answer.status >= 500
-        )
+        failed = answer.status >= 500
+        parts.places.health.answered(endpoint_id, now_s, failed=failed)
+        took_s = now_s - self._offered_s
+        parts.places.ended(started.endpoint, took_s, failed=failed)
         if answer.status >= 500 and self._worth_another(now_s):
             self._kept = (answer, body)
             self._failure = errors.Failure(
--- a/libs/gateway/src/dandelionlead/gateway/gen/ttypes.py
+++ b/libs/gateway/src/dandelionlead/gateway/gen/ttypes.py
@@ -216,28 +216,34 @@
     """
     Attributes:
      - service_name
-     - version
+     - order_version
+     - is_new
+     - sent
      - answers
      - failures
-     - slow
+     - total_s
 
     """
 
     __slots__ = (
         'service_name',
-        'version',
+        'order_version',
+        'is_new',
+        'sent',
         'answers',
         'failures',
-        'slow',
+        'total_s',
     )
 
 
-    def __init__(self, service_name=None, version=None, answers=None, failures=None, slow=None,):
+    def __init__(self, service_name=None, order_version=None, is_new=None, sent=None, answers=None, failures=None, total_s=None,):
         self.service_name = service_name
-        self.version = version
+        self.order_version = order_version
+        self.is_new = is_new
+        self.sent = sent
         self.answers = answers
         self.failures = failures
-        self.slow = slow
+        self.total_s = total_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -254,23 +260,33 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.version = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.order_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.answers = iprot.readI32()
+                if ftype == TType.BOOL:
+                    self.is_new = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.I32:
-                    self.failures = iprot.readI32()
+                    self.sent = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.I32:
-                    self.slow = iprot.readI32()
+                    self.answers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.total_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -287,21 +303,121 @@
             oprot.writeFieldBegin('service_name', TType.STRING, 1)
             oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
             oprot.writeFieldEnd()
-        if self.version is not None:
-            oprot.writeFieldBegin('version', TType.STRING, 2)
-            oprot.writeString(self.version.encode('utf-8') if sys.version_info[0] == 2 else self.version)
+        if self.order_version is not None:
+            oprot.writeFieldBegin('order_version', TType.I64, 2)
+            oprot.writeI64(self.order_version)
+            oprot.writeFieldEnd()
+        if self.is_new is not None:
+            oprot.writeFieldBegin('is_new', TType.BOOL, 3)
+            oprot.writeBool(self.is_new)
+            oprot.writeFieldEnd()
+        if self.sent is not None:
+            oprot.writeFieldBegin('sent', TType.I32, 4)
+            oprot.writeI32(self.sent)
             oprot.writeFieldEnd()
         if self.answers is not None:
-            oprot.writeFieldBegin('answers', TType.I32, 3)
+            oprot.writeFieldBegin('answers', TType.I32, 5)
             oprot.writeI32(self.answers)
             oprot.writeFieldEnd()
         if self.failures is not None:
-            oprot.writeFieldBegin('failures', TType.I32, 4)
+            oprot.writeFieldBegin('failures', TType.I32, 6)
             oprot.writeI32(self.failures)
             oprot.writeFieldEnd()
-        if self.slow is not None:
-            oprot.writeFieldBegin('slow', TType.I32, 5)
-            oprot.writeI32(self.slow)
+        if self.total_s is not None:
+            oprot.writeFieldBegin('total_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.total_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Verdict(object):
+    """
+    Attributes:
+     - service_name
+     - order_version
+     - state
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'order_version',
+        'state',
+    )
+
+
+    def __init__(self, service_name=None, order_version=None, state=None,):
+        self.service_name = service_name
+        self.order_version = order_version
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.order_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Verdict')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.order_version is not None:
+            oprot.writeFieldBegin('order_version', TType.I64, 2)
+            oprot.writeI64(self.order_version)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 3)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -348,6 +464,7 @@
      - versions
      - known_hosts
      - endpoints_read_ms_ago
+     - verdicts
 
     """
 
@@ -369,10 +486,11 @@
         'versions',
         'known_hosts',
         'endpoints_read_ms_ago',
+        'verdicts',
     )
 
 
-    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None,):
+    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None,):
         self.node = node
         self.incarnation = incarnation
         self.sequence = sequence
@@ -390,6 +508,7 @@
         self.versions = versions
         self.known_hosts = known_hosts
         self.endpoints_read_ms_ago = endpoints_read_ms_ago
+        self.verdicts = verdicts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -513,6 +632,17 @@
                     self.endpoints_read_ms_ago = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.verdicts = []
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = Verdict()
+                        _elem35.read(iprot)
+                        self.verdicts.append(_elem35)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -570,42 +700,49 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter30 in self.loads:
-                iter30.write(oprot)
+            for iter36 in self.loads:
+                iter36.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter31 in self.leaving:
-                oprot.writeString(iter31.encode('utf-8') if sys.version_info[0] == 2 else iter31)
+            for iter37 in self.leaving:
+                oprot.writeString(iter37.encode('utf-8') if sys.version_info[0] == 2 else iter37)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter32 in self.crashes:
-                iter32.write(oprot)
+            for iter38 in self.crashes:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter33 in self.versions:
-                iter33.write(oprot)
+            for iter39 in self.versions:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_hosts is not None:
             oprot.writeFieldBegin('known_hosts', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter34 in self.known_hosts:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter40 in self.known_hosts:
+                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read_ms_ago is not None:
             oprot.writeFieldBegin('endpoints_read_ms_ago', TType.I32, 17)
             oprot.writeI32(self.endpoints_read_ms_ago)
             oprot.writeFieldEnd()
+        if self.verdicts is not None:
+            oprot.writeFieldBegin('verdicts', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
+            for iter41 in self.verdicts:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -772,11 +909,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = Row()
-                        _elem40.read(iprot)
-                        self.rows.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = Row()
+                        _elem47.read(iprot)
+                        self.rows.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -811,8 +948,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter41 in self.rows:
-                iter41.write(oprot)
+            for iter48 in self.rows:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -875,11 +1012,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.known_versions = {}
-                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
-                    for _i46 in range(_size42):
-                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val48 = iprot.readI64()
-                        self.known_versions[_key47] = _val48
+                    (_ktype50, _vtype51, _size49) = iprot.readMapBegin()
+                    for _i53 in range(_size49):
+                        _key54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val55 = iprot.readI64()
+                        self.known_versions[_key54] = _val55
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -896,9 +1033,9 @@
         if self.known_versions is not None:
             oprot.writeFieldBegin('known_versions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.known_versions))
-            for kiter49, viter50 in self.known_versions.items():
-                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
-                oprot.writeI64(viter50)
+            for kiter56, viter57 in self.known_versions.items():
+                oprot.writeString(kiter56.encode('utf-8') if sys.version_info[0] == 2 else kiter56)
+                oprot.writeI64(viter57)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -953,11 +1090,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = Table()
-                        _elem56.read(iprot)
-                        self.tables.append(_elem56)
+                    (_etype61, _size58) = iprot.readListBegin()
+                    for _i62 in range(_size58):
+                        _elem63 = Table()
+                        _elem63.read(iprot)
+                        self.tables.append(_elem63)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -974,8 +1111,8 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter57 in self.tables:
-                iter57.write(oprot)
+            for iter64 in self.tables:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1020,10 +1157,19 @@
 VersionCount.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'version', 'UTF8', None, ),  # 2
-    (3, TType.I32, 'answers', None, None, ),  # 3
-    (4, TType.I32, 'failures', None, None, ),  # 4
-    (5, TType.I32, 'slow', None, None, ),  # 5
+    (2, TType.I64, 'order_version', None, None, ),  # 2
+    (3, TType.BOOL, 'is_new', None, None, ),  # 3
+    (4, TType.I32, 'sent', None, None, ),  # 4
+    (5, TType.I32, 'answers', None, None, ),  # 5
+    (6, TType.I32, 'failures', None, None, ),  # 6
+    (7, TType.DOUBLE, 'total_s', None, None, ),  # 7
+)
+all_structs.append(Verdict)
+Verdict.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'order_version', None, None, ),  # 2
+    (3, TType.STRING, 'state', 'UTF8', None, ),  # 3
 )
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
@@ -1045,6 +1191,7 @@
     (15, TType.LIST, 'versions', (TType.STRUCT, [VersionCount, None], False), None, ),  # 15
     (16, TType.LIST, 'known_hosts', (TType.STRING, 'UTF8', False), None, ),  # 16
     (17, TType.I32, 'endpoints_read_ms_ago', None, None, ),  # 17
+    (18, TType.LIST, 'verdicts', (TType.STRUCT, [Verdict, None], False), None, ),  # 18
 )
 all_structs.append(Row)
 Row.thrift_spec = (
--- a/libs/gateway/src/dandelionlead/gateway/placement.py
+++ b/libs/gateway/src/dandelionlead/gateway/placement.py
@@ -122,11 +122,17 @@
             far_cost: What an endpoint in another zone costs more.
         """
         wanted = _Wanted(service, tokens, excluded, fill)
-        opened = self._view.open_endpoints(service.name)
+        opened = self._view.rollouts.usable(
+            service.name, self._view.open_endpoints(service.name), self._rng
+        )
         candidates = self._candidates(opened, wanted, now_s)
         if all(item.paused for item in candidates):
             # A zone that was closed a moment ago may still help out.
-            closing = self._view.closing_endpoints(service.name, now_s)
+            closing = self._view.rollouts.usable(
+                service.name,
+                self._view.closing_endpoints(service.name, now_s),
+                self._rng,
+            )
             candidates += self._candidates(closing, wanted, now_s)
         return choice.choose(
             candidates,
@@ -153,6 +159,12 @@
             return "0/0/0"
         return f"{load.runs}/{load.tokens}/{load.prefill}"
 
+    def ended(
+        self, endpoint: model.Endpoint, seconds: float, *, failed: bool
+    ) -> None:
+        """Counts how a call ended, for the judgement of versions."""
+        self._view.rollouts.answered(endpoint, seconds, failed=failed)
+
     def unreachable(self, endpoint: model.Endpoint, now_s: float) -> None:
         """Notes that no connection to an endpoint could be opened."""
         self.health.unreachable(endpoint.endpoint_id, now_s)
@@ -160,6 +172,7 @@
 
     def sent(self, endpoint: model.Endpoint, now_s: float) -> None:
         """Counts a request that is about to be sent."""
+        self._view.rollouts.sent(endpoint)
         if now_s < endpoint.cold_until_s:
             self._cold.sent(endpoint.endpoint_id, now_s)
 
--- a/libs/gateway/src/dandelionlead/gateway/view.py
+++ b/libs/gateway/src/dandelionlead/gateway/view.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from dandelionlead.gateway import model
+from dandelionlead.gateway import rollouts
 from dandelionlead.gateway import routes
 
 # Endpoints that left are remembered, since a late entry may still name them.
@@ -43,7 +44,7 @@
         endpoints: Endpoints by id.
         closed_zones: Availability zones that get no work, and when this
             process learnt of it.
-        rollouts: Orders by service.
+        rollouts: Moves of services to other versions.
         confirmed_s: When the platform or a peer last confirmed all this.
         notices: Called with the id of an endpoint that begins to leave.
     """
@@ -53,7 +54,7 @@
         self.table = routes.RouteTable(())
         self.endpoints: dict[str, model.Endpoint] = {}
         self.closed_zones: dict[str, float] = {}
-        self.rollouts: dict[str, model.RolloutOrder] = {}
+        self.rollouts = rollouts.Rollouts()
         self.confirmed_s = float("-inf")
         self.notices: list[Callable[[str], None]] = []
         self._leaving: dict[str, _Leaving] = {}
