Do not go on from a backup in a zone that was closed

Ruled out: new choices (they leave closed zones out after 2 s). Change: Care.zone_closed, Care.may_go_on_at; view.close_zone tells listeners. Test: test_moves.BackupTest (new case).

--- a/libs/gateway/src/dandelionlead/gateway/care.py
+++ b/libs/gateway/src/dandelionlead/gateway/care.py
@@ -9,6 +9,7 @@
 from dandelionlead.gateway import attempt
 from dandelionlead.gateway import dialect
 from dandelionlead.gateway import evacuation
+from dandelionlead.gateway import model
 from dandelionlead.gateway import placement
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import view
@@ -40,12 +41,13 @@
         self._runs: dict[str, set[runs.Run]] = {}
         self._evacuations: dict[str, evacuation.Evacuation] = {}
         known.notices.append(self.notice)
+        known.closings.append(self.zone_closed)
 
     def add(self, run: runs.Run) -> None:
         """Takes a run into care; moves it at once if its engine leaves."""
         self._runs.setdefault(run.endpoint.endpoint_id, set()).add(run)
         backup = run.backup_at
-        if backup is not None and self._view.is_leaving(backup.endpoint_id):
+        if backup is not None and not self._is_usable(backup):
             self.drop_backup(run)
         self._expose(run)
         if self._view.is_leaving(run.endpoint.endpoint_id):
@@ -76,7 +78,21 @@
             self._move(run)
         for others in list(self._runs.values()):
             for run in others:
-                self._lose_backup(run, endpoint_id)
+                backup = run.backup_at
+                if backup is not None and backup.endpoint_id == endpoint_id:
+                    self._lose_backup(run)
+
+    def zone_closed(self, zone: str) -> None:
+        """Forgets backups in a zone that may get no more requests."""
+        for found in list(self._runs.values()):
+            for run in found:
+                backup = run.backup_at
+                if backup is not None and backup.availability_zone == zone:
+                    self._lose_backup(run)
+
+    def may_go_on_at(self, endpoint: model.Endpoint) -> bool:
+        """Whether a run may be sent to an engine that has its memory."""
+        return self._view.takes_work(endpoint, clock.boottime())
 
     def back_up(self, run: runs.Run) -> None:
         """Chooses an engine that keeps a copy of a run as it grows."""
@@ -117,15 +133,18 @@
         if copy is not None and found is not None:
             found.free(copy.handle)
 
+    def _is_usable(self, backup: model.Endpoint) -> bool:
+        """Whether an engine can take a run over when it comes to that."""
+        if self._view.is_leaving(backup.endpoint_id):
+            return False
+        return backup.availability_zone not in self._view.closed_zones
+
     def _expose(self, run: runs.Run) -> None:
         """Tells the peers of a run that would be lost with its engine."""
         if run.backup_at is None and not run.admitted.route.repeatable:
             self._places.loads.expose(run.ticket)
 
-    def _lose_backup(self, run: runs.Run, endpoint_id: str) -> None:
-        backup = run.backup_at
-        if backup is None or backup.endpoint_id != endpoint_id:
-            return
+    def _lose_backup(self, run: runs.Run) -> None:
         self.drop_backup(run)
         self._expose(run)
         if self._view.is_leaving(run.endpoint.endpoint_id):
--- a/libs/gateway/src/dandelionlead/gateway/evacuation.py
+++ b/libs/gateway/src/dandelionlead/gateway/evacuation.py
@@ -158,7 +158,9 @@
         """Sets the engine that takes the run; returns whether there is one."""
         present = run.copy_at
         if present is not None:
-            unusable = self._view.is_leaving(present.endpoint_id)
+            unusable = self._view.is_leaving(
+                present.endpoint_id
+            ) or not self._view.takes_work(present, clock.boottime())
             if not unusable and present.endpoint_id not in refused:
                 return True
             self._drop(run)
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -246,8 +246,13 @@
         )
         ticket, run.copy_ticket = run.copy_ticket, None
         run.copy = run.copy_at = None
-        started = self._resume_at(target, resumption, ticket)
-        if started is None and run.stopped is not None:
+        stopped = run.stopped is not None
+        started = None
+        if self._care.may_go_on_at(target):
+            started = self._resume_at(target, resumption, ticket)
+        else:
+            self._places.loads.end(ticket)
+        if started is None and stopped and self._care.may_go_on_at(source):
             # A run that was stopped for a move can go on where it was.
             ticket = self._places.loads.begin(source.endpoint_id, run.tokens, 0)
             started = self._resume_at(source, resumption, ticket)
@@ -263,6 +268,8 @@
             target.address, run.request_id, self._splitter.last_id
         )
         self._care.drop_backup(run)
+        if not self._care.may_go_on_at(target):
+            return None
         ticket = self._places.loads.begin(target.endpoint_id, run.tokens, 0)
         return self._resume_at(target, resumption, ticket)
 
--- a/libs/gateway/src/dandelionlead/gateway/view.py
+++ b/libs/gateway/src/dandelionlead/gateway/view.py
@@ -47,6 +47,7 @@
         rollouts: Moves of services to other versions.
         confirmed_s: When the platform or a peer last confirmed all this.
         notices: Called with the id of an endpoint that begins to leave.
+        closings: Called with the name of a zone that was closed.
     """
 
     def __init__(self) -> None:
@@ -57,6 +58,7 @@
         self.rollouts = rollouts.Rollouts()
         self.confirmed_s = float("-inf")
         self.notices: list[Callable[[str], None]] = []
+        self.closings: list[Callable[[str], None]] = []
         self._leaving: dict[str, _Leaving] = {}
 
     def configure(self, configuration: model.Configuration) -> bool:
@@ -68,6 +70,25 @@
         self.table = routes.RouteTable(configuration.routes)
         return True
 
+    def close_zone(self, zone: str, now_s: float) -> None:
+        """Takes a zone out; tells the listeners once."""
+        if zone in self.closed_zones:
+            return
+        self.closed_zones = self.closed_zones | {zone: now_s}
+        for closing in self.closings:
+            closing(zone)
+
+    def open_zone(self, zone: str) -> None:
+        """Takes a zone back in."""
+        closed = dict(self.closed_zones)
+        closed.pop(zone, None)
+        self.closed_zones = closed
+
+    def takes_work(self, endpoint: model.Endpoint, now_s: float) -> bool:
+        """Whether the endpoint's zone may still get requests."""
+        closed_s = self.closed_zones.get(endpoint.availability_zone, now_s)
+        return now_s - closed_s < CLOSING_GRACE_S
+
     def set_endpoint(self, endpoint: model.Endpoint) -> bool:
         """Takes an endpoint's entry; returns whether it matters to choices."""
         known = self.endpoints.get(endpoint.endpoint_id)
--- a/libs/gateway/tests/test_moves.py
+++ b/libs/gateway/tests/test_moves.py
@@ -179,6 +179,24 @@
         self.mover.add(run)
         self.assertIsNone(run.backup_at)
 
+    def test_backup_in_a_zone_that_is_closed_is_not_used(self) -> None:
+        far = model.Endpoint("far", "engines", "10.0.0.1", 9, "b")
+        self.view.set_endpoint(far)
+        for number in range(1, 4):
+            self.places.loads.begin(f"e{number}", 17_000, 0)
+        run = self.run_at("e0")
+        self.mover.back_up(run)
+        self.assertEqual(run.backup_at.endpoint_id, "far")
+        now_s = clock.boottime()
+        self.assertTrue(self.mover.may_go_on_at(far))
+        self.view.close_zone("b", now_s)
+        self.assertIsNone(run.backup_at)
+        self.assertEqual(self.places.loads.unsaved("e0", now_s), 1)
+        self.view.closed_zones = {"b": now_s - view.CLOSING_GRACE_S}
+        self.assertFalse(self.mover.may_go_on_at(far))
+        self.view.open_zone("b")
+        self.assertTrue(self.mover.may_go_on_at(far))
+
     def test_no_backup_without_room(self) -> None:
         for number in range(1, 4):
             self.places.loads.begin(f"e{number}", 17_000, 0)
