Take out what nothing uses and what stood twice in the gateway

Cause, from reading the change again: Mirror.replace and change repeated one another; three places took one endpoint's load from all totals; parameters and methods that no caller uses (Pool.take fresh, Pool.forget, opened; Sender.finish reuse; part of the retry budget; Care.count). Change: replace calls change with the rows that vanished; LoadBook.total serves all three; the unused ones are gone. No behaviour, bound or test changes.

--- a/libs/gateway/src/dandelionlead/gateway/attempt.py
+++ b/libs/gateway/src/dandelionlead/gateway/attempt.py
@@ -88,9 +88,9 @@
             if not kept:
                 conn.close()
 
-    def finish(self, started: Started, *, reuse: bool) -> None:
+    def finish(self, started: Started) -> None:
         """Gives the connection of a complete response back."""
-        if not reuse or started.answer.leaving:
+        if started.answer.leaving:
             started.conn.close()
             return
         if started.answer.idle_limit_s:
--- a/libs/gateway/src/dandelionlead/gateway/budget.py
+++ b/libs/gateway/src/dandelionlead/gateway/budget.py
@@ -38,21 +38,18 @@
         """Counts a caller's request."""
         self._add(self._firsts, service, now_s)
 
-    def take(
-        self, service: str, now_s: float, processes: int, *, part: float = 1.0
-    ) -> bool:
+    def take(self, service: str, now_s: float, processes: int) -> bool:
         """Takes one second send, if the budget has one.
 
         Args:
             service: The service that gets it.
             now_s: Time in seconds.
             processes: Processes that share the budget.
-            part: Part of the budget that this kind of send may use.
         """
         firsts = self._count(self._firsts, service, now_s)
         seconds = self._count(self._seconds, service, now_s)
         allowed = self._ratio * firsts + self._extra / max(1, processes)
-        if seconds + 1 > allowed * SAFE_PART * part:
+        if seconds + 1 > allowed * SAFE_PART:
             return False
         self._add(self._seconds, service, now_s)
         return True
--- a/libs/gateway/src/dandelionlead/gateway/care.py
+++ b/libs/gateway/src/dandelionlead/gateway/care.py
@@ -61,10 +61,6 @@
             if not found:
                 del self._runs[run.endpoint.endpoint_id]
 
-    def count(self) -> int:
-        """Returns the number of runs."""
-        return sum(len(found) for found in self._runs.values())
-
     def notice(self, endpoint_id: str) -> None:
         """Moves all runs of an engine that leaves, and forgets its copies."""
         found = list(self._runs.get(endpoint_id, ()))
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -341,7 +341,7 @@
             min(self._admitted.until_s, now_s + 0.2), attempt.MAX_BODY_BYTES
         )
         if isinstance(body, bytes):
-            parts.sender.finish(started, reuse=True)
+            parts.sender.finish(started)
         self._failure = errors.Failure(
             errors.Kind.OVERLOADED,
             f"the endpoint refused with {answer.status}",
@@ -398,7 +398,7 @@
             self._failure = body
             return False
         answer = started.answer
-        parts.sender.finish(started, reuse=True)
+        parts.sender.finish(started)
         failed = answer.status >= 500
         parts.places.health.answered(endpoint_id, now_s, failed=failed)
         took_s = now_s - self._offered_s
--- a/libs/gateway/src/dandelionlead/gateway/loads.py
+++ b/libs/gateway/src/dandelionlead/gateway/loads.py
@@ -101,8 +101,7 @@
 
     def unsaved(self, endpoint_id: str, now_s: float) -> int:
         """Returns the generations that would be lost with an endpoint."""
-        load = self.totals(now_s).get(endpoint_id)
-        return load.unsaved if load else 0
+        return self.total(endpoint_id, now_s).unsaved
 
     def unsaved_of_peers(
         self, endpoint_id: str, now_s: float
@@ -145,6 +144,10 @@
         """Returns the loads that this process causes, by endpoint."""
         return self._own
 
+    def total(self, endpoint_id: str, now_s: float) -> Load:
+        """Returns the load of one endpoint, that of live peers included."""
+        return self.totals(now_s).get(endpoint_id) or Load()
+
     def totals(self, now_s: float) -> dict[str, Load]:
         """Returns the loads by endpoint, those of live peers included."""
         totals: dict[str, Load] = {}
--- a/libs/gateway/src/dandelionlead/gateway/mirror.py
+++ b/libs/gateway/src/dandelionlead/gateway/mirror.py
@@ -76,14 +76,11 @@
         if version < table.version:
             return False
         found = {row.key: row for row in rows}
-        for key in list(table.rows):
-            if key not in found:
-                self._take(name, Row(key, None, version))
-        for row in found.values():
-            self._take(name, row)
-        table.version = version
-        table.confirmed_s = max(table.confirmed_s, confirmed_s)
-        return True
+        dropped = [
+            Row(key, None, version) for key in table.rows if key not in found
+        ]
+        changes = [*dropped, *found.values()]
+        return self.change(name, changes, version, confirmed_s)
 
     def change(
         self,
--- a/libs/gateway/src/dandelionlead/gateway/placement.py
+++ b/libs/gateway/src/dandelionlead/gateway/placement.py
@@ -149,14 +149,11 @@
 
     def backlog(self, endpoint: model.Endpoint, now_s: float) -> int:
         """Returns the prompt tokens that an engine has yet to read."""
-        load = self.loads.totals(now_s).get(endpoint.endpoint_id)
-        return load.prefill if load else 0
+        return self.loads.total(endpoint.endpoint_id, now_s).prefill
 
     def describe(self, endpoint: model.Endpoint, now_s: float) -> str:
         """Returns the load of an endpoint as text for the log."""
-        load = self.loads.totals(now_s).get(endpoint.endpoint_id)
-        if load is None:
-            return "0/0/0"
+        load = self.loads.total(endpoint.endpoint_id, now_s)
         return f"{load.runs}/{load.tokens}/{load.prefill}"
 
     def ended(
@@ -180,12 +177,10 @@
         """Counts a caller's request for the retry budget."""
         self.retries.first(admitted.service.name, now_s)
 
-    def may_resend(
-        self, service: str, now_s: float, *, part: float = 1.0
-    ) -> bool:
+    def may_resend(self, service: str, now_s: float) -> bool:
         """Takes a second send from the budget, if there is one."""
         processes = len(self._cluster.members())
-        return self.retries.take(service, now_s, processes, part=part)
+        return self.retries.take(service, now_s, processes)
 
     def _candidates(
         self,
--- a/libs/gateway/src/dandelionlead/gateway/pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/pool.py
@@ -22,26 +22,23 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[channel.Channel]] = {}
-        self.opened = 0
 
     def take(
-        self, endpoint: model.Endpoint, timeout_s: float, *, fresh: bool = False
+        self, endpoint: model.Endpoint, timeout_s: float
     ) -> channel.Channel | errors.Failure:
         """Returns a connection that is idle, or opens one.
 
         Args:
             endpoint: Where to.
             timeout_s: Longest time for opening one.
-            fresh: Whether idle connections are passed over.
         """
         now = clock.boottime()
         idle = self._idle.get(endpoint.endpoint_id, [])
-        while idle and not fresh:
+        while idle:
             conn = idle.pop()
             if conn.address == endpoint.address and _usable(conn, now):
                 return conn
             conn.close()
-        self.opened += 1
         return channel.connect(
             endpoint.address, min(CONNECT_TIMEOUT_S, timeout_s)
         )
@@ -57,11 +54,6 @@
             return
         idle.append(conn)
 
-    def forget(self, endpoint_id: str) -> None:
-        """Closes the idle connections of an endpoint that is gone."""
-        for conn in self._idle.pop(endpoint_id, []):
-            conn.close()
-
     def sweep(self) -> None:
         """Closes connections that will not be used again."""
         now = clock.boottime()
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -101,7 +101,7 @@
                 failure = self._pass_on(current, head)
                 done, current = current, None
                 if failure is None:
-                    self._sender.finish(done, reuse=True)
+                    self._sender.finish(done)
                     self.outcome.complete = True
                     return self.outcome
                 done.conn.close()
