Tell peers changed loads and changed rows alone

Cause: on the grown sites some instances have links of 5 Mbit/s. Each change of a generation sent a whole heartbeat (700 to 1,500 B) to 58 peers, about 400 KB/s in and out of 625, and each news of an endpoint made all peers copy the whole table (10 KB) from one of them: streams stood behind these on the link.

Change: messages with the loads that changed alone, numbered with the heartbeats; tables remember deletions and answer what changed since a version; heartbeats name 4 other hosts; changed orders are told at once. A reader is fresh for 1 s and a heartbeat's pause.

--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -69,22 +69,31 @@
   18: list<Verdict> verdicts
 }
 
+// Loads of some endpoints, told between two heartbeats.
+struct LoadChange {
+  1: string node
+  2: i64 incarnation
+  // Counts on with the heartbeats.
+  3: i64 sequence
+  // The whole load of each endpoint named; zero if there is none left.
+  4: list<EndpointLoad> loads
+}
+
 struct Row {
   1: string key
+  // Missing if the row was deleted.
   2: binary value
   3: i64 version
 }
 
-// A table up to a version. Without `whole`, no row has changed since the
-// version that the asker knows, and none is sent.
+// A table up to a version: all its rows, or, without `whole`, those that have
+// changed since the version that the asker knows.
 struct Table {
   1: string name
   2: i64 version
   3: list<Row> rows
   4: i32 confirmed_ms_ago
   5: bool whole
-  // Version of the last change.
-  6: i64 changed_version
 }
 
 // Asks for tables that are newer than the versions given.
--- a/libs/cluster/src/dandelionlead/cluster/copying.py
+++ b/libs/cluster/src/dandelionlead/cluster/copying.py
@@ -53,13 +53,5 @@
         rows = [
             mirror.Row(row.key, row.value, row.version) for row in table.rows
         ]
-        if not table.whole:
-            self._tables.change(table.name, [], table.version, confirmed_s)
-            return
-        self._tables.replace(
-            table.name,
-            rows,
-            table.version,
-            confirmed_s,
-            table.changed_version,
-        )
+        take = self._tables.replace if table.whole else self._tables.change
+        take(table.name, rows, table.version, confirmed_s)
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -768,6 +768,119 @@
         return not (self == other)
 
 
+class LoadChange(object):
+    """
+    Attributes:
+     - node
+     - incarnation
+     - sequence
+     - loads
+
+    """
+
+    __slots__ = (
+        'node',
+        'incarnation',
+        'sequence',
+        'loads',
+    )
+
+
+    def __init__(self, node=None, incarnation=None, sequence=None, loads=None,):
+        self.node = node
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.loads = loads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = EndpointLoad()
+                        _elem47.read(iprot)
+                        self.loads.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadChange')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter48 in self.loads:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Row(object):
     """
     Attributes:
@@ -868,7 +981,6 @@
      - rows
      - confirmed_ms_ago
      - whole
-     - changed_version
 
     """
 
@@ -878,17 +990,15 @@
         'rows',
         'confirmed_ms_ago',
         'whole',
-        'changed_version',
     )
 
 
-    def __init__(self, name=None, version=None, rows=None, confirmed_ms_ago=None, whole=None, changed_version=None,):
+    def __init__(self, name=None, version=None, rows=None, confirmed_ms_ago=None, whole=None,):
         self.name = name
         self.version = version
         self.rows = rows
         self.confirmed_ms_ago = confirmed_ms_ago
         self.whole = whole
-        self.changed_version = changed_version
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -912,11 +1022,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = Row()
-                        _elem47.read(iprot)
-                        self.rows.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = Row()
+                        _elem54.read(iprot)
+                        self.rows.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -930,11 +1040,6 @@
                     self.whole = iprot.readBool()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.I64:
-                    self.changed_version = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -956,8 +1061,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter48 in self.rows:
-                iter48.write(oprot)
+            for iter55 in self.rows:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -968,10 +1073,6 @@
             oprot.writeFieldBegin('whole', TType.BOOL, 5)
             oprot.writeBool(self.whole)
             oprot.writeFieldEnd()
-        if self.changed_version is not None:
-            oprot.writeFieldBegin('changed_version', TType.I64, 6)
-            oprot.writeI64(self.changed_version)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1024,11 +1125,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.known_versions = {}
-                    (_ktype50, _vtype51, _size49) = iprot.readMapBegin()
-                    for _i53 in range(_size49):
-                        _key54 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val55 = iprot.readI64()
-                        self.known_versions[_key54] = _val55
+                    (_ktype57, _vtype58, _size56) = iprot.readMapBegin()
+                    for _i60 in range(_size56):
+                        _key61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val62 = iprot.readI64()
+                        self.known_versions[_key61] = _val62
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1045,9 +1146,9 @@
         if self.known_versions is not None:
             oprot.writeFieldBegin('known_versions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.known_versions))
-            for kiter56, viter57 in self.known_versions.items():
-                oprot.writeString(kiter56.encode('utf-8') if sys.version_info[0] == 2 else kiter56)
-                oprot.writeI64(viter57)
+            for kiter63, viter64 in self.known_versions.items():
+                oprot.writeString(kiter63.encode('utf-8') if sys.version_info[0] == 2 else kiter63)
+                oprot.writeI64(viter64)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1102,11 +1203,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype61, _size58) = iprot.readListBegin()
-                    for _i62 in range(_size58):
-                        _elem63 = Table()
-                        _elem63.read(iprot)
-                        self.tables.append(_elem63)
+                    (_etype68, _size65) = iprot.readListBegin()
+                    for _i69 in range(_size65):
+                        _elem70 = Table()
+                        _elem70.read(iprot)
+                        self.tables.append(_elem70)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1123,8 +1224,8 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter64 in self.tables:
-                iter64.write(oprot)
+            for iter71 in self.tables:
+                iter71.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1205,6 +1306,14 @@
     (17, TType.I32, 'endpoints_read_ms_ago', None, None, ),  # 17
     (18, TType.LIST, 'verdicts', (TType.STRUCT, [Verdict, None], False), None, ),  # 18
 )
+all_structs.append(LoadChange)
+LoadChange.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
+)
 all_structs.append(Row)
 Row.thrift_spec = (
     None,  # 0
@@ -1220,7 +1329,6 @@
     (3, TType.LIST, 'rows', (TType.STRUCT, [Row, None], False), None, ),  # 3
     (4, TType.I32, 'confirmed_ms_ago', None, None, ),  # 4
     (5, TType.BOOL, 'whole', None, None, ),  # 5
-    (6, TType.I64, 'changed_version', None, None, ),  # 6
 )
 all_structs.append(CopyRequest)
 CopyRequest.thrift_spec = (
--- a/libs/cluster/src/dandelionlead/cluster/mirror.py
+++ b/libs/cluster/src/dandelionlead/cluster/mirror.py
@@ -23,16 +23,21 @@
         self.version = version
 
 
+# Deletions that a table remembers for peers that ask for what changed.
+_MOST_DELETIONS = 512
+
+
 class Table:
     """Rows of one table up to a version of the store.
 
     Attributes:
         rows: Rows by key.
         version: All changes up to here are known; -1 before the first read.
-        changed_version: Version of the last change; nothing was changed
-            between it and `version`.
+        changed_version: Version of the last change, or a later one.
         confirmed_s: When the store was last known to hold nothing newer.
         read_s: When this process itself last read it.
+        deletions: Versions of deletions, by key, the oldest first.
+        history_from: All deletions after this version are remembered.
     """
 
     __slots__ = (
@@ -41,6 +46,8 @@
         "changed_version",
         "confirmed_s",
         "read_s",
+        "deletions",
+        "history_from",
     )
 
     def __init__(self) -> None:
@@ -49,6 +56,30 @@
         self.changed_version = -1
         self.confirmed_s = float("-inf")
         self.read_s = float("-inf")
+        self.deletions: dict[str, int] = {}
+        self.history_from = -1
+
+    def since(self, version: int) -> list[Row] | None:
+        """Returns the rows that changed after a version; None if unknown."""
+        if version < self.history_from:
+            return None
+        changed = [row for row in self.rows.values() if row.version > version]
+        changed += [
+            Row(key, None, deleted)
+            for key, deleted in self.deletions.items()
+            if deleted > version
+        ]
+        return changed
+
+    def note_deletion(self, key: str, version: int) -> None:
+        """Remembers a deletion, and forgets the oldest one of too many."""
+        version = max(version, self.deletions.pop(key, version))
+        self.deletions[key] = version
+        if len(self.deletions) > _MOST_DELETIONS:
+            oldest = next(iter(self.deletions))
+            self.history_from = max(
+                self.history_from, self.deletions.pop(oldest)
+            )
 
 
 class Mirror:
@@ -71,24 +102,15 @@
         rows: Iterable[Row],
         version: int,
         confirmed_s: float,
-        changed_version: int | None = None,
     ) -> bool:
-        """Takes a whole table; returns whether it was not older.
-
-        Args:
-            name: The table.
-            rows: All its rows.
-            version: Version of the store that they are of.
-            confirmed_s: When the store held nothing newer.
-            changed_version: Version of the last change, where that is known.
-                The rows do not tell of one that was deleted.
-        """
+        """Takes a whole table; returns whether it was not older."""
         table = self.tables[name]
         if version < table.version:
             return False
         if version > table.version:
-            latest = version if changed_version is None else changed_version
-            table.changed_version = max(table.changed_version, latest)
+            # The rows do not tell which others there were on the way.
+            table.history_from = version
+            table.changed_version = version
         found = {row.key: row for row in rows}
         dropped = [
             Row(key, None, version) for key in table.rows if key not in found
@@ -120,8 +142,11 @@
         if present is not None and _is_older(row, present):
             return
         if row.value is None:
+            table.note_deletion(row.key, row.version)
             if table.rows.pop(row.key, None) is None:
                 return
+        elif table.deletions.get(row.key, -1) > row.version:
+            return
         else:
             table.rows[row.key] = row
         self._changed(name, row)
--- a/libs/cluster/src/dandelionlead/cluster/peers.py
+++ b/libs/cluster/src/dandelionlead/cluster/peers.py
@@ -1,8 +1,10 @@
-"""Heartbeats between processes, and copies of tables on request."""
+"""Heartbeats and loads between processes, and copies of tables on request."""
 
 from __future__ import annotations
 
+import abc
 import contextlib
+import random
 import socket
 import struct
 from collections.abc import Callable
@@ -27,7 +29,11 @@
 _DATAGRAMS_PER_S = 3_000.0
 _MAX_DATAGRAM = 60_000
 _MAX_FRAME = 16_777_216
-_MAX_KNOWN_HOSTS = 16
+# Hosts that a heartbeat passes on; each names others.
+_KNOWN_HOSTS = 4
+# First byte of a datagram.
+_HEARTBEAT = b"H"
+_LOADS = b"L"
 _LENGTH = struct.Struct("!I")
 _DECODE_FAULTS = (
     Thrift.TException,
@@ -37,6 +43,26 @@
 )
 
 
+class Speaker(abc.ABC):
+    """Says what a process tells its peers, and takes what they tell."""
+
+    @abc.abstractmethod
+    def describe(self) -> ttypes.Heartbeat:
+        """Returns the present heartbeat of this process."""
+
+    @abc.abstractmethod
+    def describe_loads(self, endpoint_ids: set[str]) -> ttypes.LoadChange:
+        """Returns the present loads of some endpoints."""
+
+    @abc.abstractmethod
+    def heard(self, beat: ttypes.Heartbeat) -> None:
+        """Takes a peer's heartbeat that is news."""
+
+    @abc.abstractmethod
+    def heard_loads(self, change: ttypes.LoadChange) -> None:
+        """Takes a peer's loads that are news."""
+
+
 class Peers:
     """Sockets between this process and its peers."""
 
@@ -45,8 +71,7 @@
         address: tuple[str, int],
         known: roster.Roster,
         tables: mirror.Mirror,
-        describe: Callable[[], ttypes.Heartbeat],
-        heard: Callable[[ttypes.Heartbeat], None],
+        speaker: Speaker,
         log: events.Log,
     ) -> None:
         """Binds the sockets.
@@ -55,22 +80,23 @@
             address: Where to listen, UDP and TCP.
             known: The peers.
             tables: Tables that peers may copy.
-            describe: Returns the present heartbeat of this process.
-            heard: Called with each heartbeat that is news.
+            speaker: Says what is told, and takes what is heard.
             log: Gets lines on messages that cannot be read.
         """
         self._address = address
         self._roster = known
         self._tables = tables
-        self._describe = describe
-        self._heard = heard
+        self._speaker = speaker
         self._log = log
         self._udp = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._udp.bind(address)
         self._tcp = callers.listen(address)
-        self._soon = None
+        self._soon: eventlet.greenthread.GreenThread | None = None
+        self._whole = False
+        self._changed_loads: set[str] = set()
         self._closed = False
         self._sent_s = 0.0
+        self._beat_s = 0.0
         self.unreadable = 0
 
     def loops(self) -> tuple[Callable[[], None], ...]:
@@ -84,21 +110,43 @@
         self._tcp.close()
 
     def changed(self) -> None:
-        """Tells the peers of a change soon."""
+        """Tells the peers all soon."""
+        self._whole = True
+        self._send_soon()
+
+    def load_changed(self, endpoint_id: str) -> None:
+        """Tells the peers soon of the load at an endpoint."""
+        self._changed_loads.add(endpoint_id)
+        self._send_soon()
+
+    def _send_soon(self) -> None:
         if self._soon is not None:
             return
         peers_count = len(self._roster.hosts())
         pause_s = max(LEAST_PAUSE_S, peers_count / _DATAGRAMS_PER_S)
         wait_s = self._sent_s + pause_s - clock.boottime()
-        self._soon = eventlet.spawn_after(max(0.0, wait_s), self.send)
+        self._soon = eventlet.spawn_after(max(0.0, wait_s), self._send_changes)
+
+    def _send_changes(self) -> None:
+        self._soon = None
+        if self._whole:
+            self.send()
+            return
+        change = self._speaker.describe_loads(self._changed_loads)
+        self._changed_loads.clear()
+        self._send_to_all(_LOADS + encode(change))
 
     def send(self) -> None:
         """Sends a heartbeat to all peers."""
-        self._soon = None
+        self._whole = False
+        self._changed_loads.clear()
+        self._beat_s = clock.boottime()
+        self._send_to_all(_HEARTBEAT + encode(self._speaker.describe()))
+
+    def _send_to_all(self, data: bytes) -> None:
         if self._closed:
             return
         self._sent_s = clock.boottime()
-        data = encode(self._describe())
         for host in self._roster.hosts():
             with contextlib.suppress(OSError):
                 # A datagram that cannot be sent is one that is lost.
@@ -124,7 +172,7 @@
     def _send_regularly(self) -> None:
         while True:
             pause_s = self._roster.heartbeat_s()
-            if clock.boottime() - self._sent_s >= 0.8 * pause_s:
+            if clock.boottime() - self._beat_s >= 0.8 * pause_s:
                 self.send()
             eventlet.sleep(pause_s)
 
@@ -132,16 +180,25 @@
         while True:
             try:
                 data, _ = self._udp.recvfrom(_MAX_DATAGRAM)
-                heartbeat = decode(ttypes.Heartbeat(), data)
+                self._take(data)
             except OSError:
                 eventlet.sleep(LEAST_PAUSE_S)
                 continue
             except _DECODE_FAULTS as exc:
                 self.unreadable += 1
                 self._log.event("heartbeat_unreadable", reason=repr(exc))
-                continue
-            if self._roster.hear(heartbeat, clock.boottime()):
-                self._heard(heartbeat)
+
+    def _take(self, data: bytes) -> None:
+        kind, body = data[:1], data[1:]
+        now_s = clock.boottime()
+        if kind == _HEARTBEAT:
+            beat = decode(ttypes.Heartbeat(), body)
+            if self._roster.hear(beat, now_s):
+                self._speaker.heard(beat)
+        elif kind == _LOADS:
+            change = decode(ttypes.LoadChange(), body)
+            if self._roster.hear_loads(change):
+                self._speaker.heard_loads(change)
 
     def _accept(self) -> None:
         while True:
@@ -171,28 +228,20 @@
             if table is None or table.version < known:
                 continue
             ago_ms = int(min(1e9, (now_s - table.confirmed_s) * 1e3))
-            whole = table.changed_version > known
+            changed = table.since(known)
+            whole = changed is None
             rows = [
                 ttypes.Row(row.key, row.value, row.version)
-                for row in table.rows.values()
-                if whole
+                for row in (table.rows.values() if whole else changed)
             ]
-            found.append(
-                ttypes.Table(
-                    name,
-                    table.version,
-                    rows,
-                    ago_ms,
-                    whole,
-                    table.changed_version,
-                )
-            )
+            found.append(ttypes.Table(name, table.version, rows, ago_ms, whole))
         return found
 
 
 def known_hosts(peers: roster.Roster) -> list[str]:
     """Returns addresses that a heartbeat passes on."""
-    return peers.hosts()[:_MAX_KNOWN_HOSTS]
+    hosts = peers.hosts()
+    return random.sample(hosts, min(_KNOWN_HOSTS, len(hosts)))
 
 
 def encode(message: object) -> bytes:
--- a/libs/cluster/src/dandelionlead/cluster/reading.py
+++ b/libs/cluster/src/dandelionlead/cluster/reading.py
@@ -14,8 +14,9 @@
 
 from dandelionlead.core import hashing
 
-# A reader whose last success is older than so many heartbeats is passed over.
-_FRESH_HEARTBEATS = 2.0
+# A reader whose last success is older is passed over; a heartbeat's pause is
+# added, since its word is as old as that.
+_FRESH_S = 1.0
 # Processes that read at all while there are enough of them.
 READERS = 12
 _DUTY = "endpoints"
@@ -51,8 +52,7 @@
 
     def is_fresh(self, heartbeat_s: float) -> bool:
         """Whether its reads succeed, as far as its heartbeats tell."""
-        limit_s = _FRESH_HEARTBEATS * heartbeat_s
-        return 0 <= self.confirmed_ago_s <= limit_s
+        return 0 <= self.confirmed_ago_s <= _FRESH_S + heartbeat_s
 
 
 def duty(own_name: str, peers: Iterable[Candidate], heartbeat_s: float) -> Duty:
--- a/libs/cluster/src/dandelionlead/cluster/roster.py
+++ b/libs/cluster/src/dandelionlead/cluster/roster.py
@@ -25,13 +25,15 @@
     Attributes:
         heard_s: When its last heartbeat came.
         heartbeat: The heartbeat.
+        sequence: Number of its latest message.
     """
 
-    __slots__ = ("heard_s", "heartbeat")
+    __slots__ = ("heard_s", "heartbeat", "sequence")
 
     def __init__(self, heard_s: float, heartbeat: ttypes.Heartbeat) -> None:
         self.heard_s = heard_s
         self.heartbeat = heartbeat
+        self.sequence = heartbeat.sequence
 
 
 class Roster:
@@ -54,14 +56,23 @@
             return False
         known = self._peers.get(heartbeat.node)
         if known is not None:
-            last = known.heartbeat
             order = (heartbeat.incarnation, heartbeat.sequence)
-            if order <= (last.incarnation, last.sequence):
+            if order <= (known.heartbeat.incarnation, known.sequence):
                 return False
         self._peers[heartbeat.node] = Peer(now_s, heartbeat)
         self.add_hosts([heartbeat.host, *heartbeat.known_hosts])
         return True
 
+    def hear_loads(self, change: ttypes.LoadChange) -> bool:
+        """Takes a change of loads; returns whether it is news."""
+        known = self._peers.get(change.node)
+        if known is None or change.sequence <= known.sequence:
+            return False
+        if change.incarnation != known.heartbeat.incarnation:
+            return False
+        known.sequence = change.sequence
+        return True
+
     def add_hosts(self, hosts: Iterable[str]) -> None:
         """Takes addresses that may be peers."""
         for host in hosts:
--- a/libs/gateway/src/dandelionlead/gateway/heartbeats.py
+++ b/libs/gateway/src/dandelionlead/gateway/heartbeats.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from dandelionlead.cluster import mirror
 from dandelionlead.cluster import peers
 from dandelionlead.cluster import roster
@@ -72,12 +74,24 @@
         self.endpoints = endpoints
 
 
-class Heartbeats:
-    """Translates between the heartbeat and the state of this process."""
+class Heartbeats(peers.Speaker):
+    """Translates between messages of peers and the state of this process.
+
+    Args:
+        identity: How peers know this process.
+        knowledge: What its parts know.
+        newer: Called with the host of a peer whose tables are newer.
+    """
 
-    def __init__(self, identity: Identity, knowledge: Knowledge) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        knowledge: Knowledge,
+        newer: Callable[[str], None],
+    ) -> None:
         self._identity = identity
         self._knowledge = knowledge
+        self._newer = newer
         self._sequence = 0
 
     def describe(self) -> ttypes.Heartbeat:
@@ -99,10 +113,8 @@
             confirmed_ms_ago=_ms_ago(has.orders.confirmed_s, now_s),
             endpoints_read_ms_ago=_ms_ago(has.endpoints.read_s, now_s),
             loads=[
-                ttypes.EndpointLoad(
-                    name, load.runs, load.tokens, load.prefill, load.unsaved
-                )
-                for name, load in has.places.loads.own().items()
+                _load(endpoint_id, load)
+                for endpoint_id, load in has.places.loads.own().items()
             ],
             leaving=has.known.leaving_ids(),
             crashes=[
@@ -114,21 +126,33 @@
             known_hosts=peers.known_hosts(has.members),
         )
 
-    def heard(self, beat: ttypes.Heartbeat) -> bool:
-        """Takes a peer's heartbeat; returns whether its tables are newer."""
+    def describe_loads(self, endpoint_ids: set[str]) -> ttypes.LoadChange:
+        """Returns the present loads of some endpoints."""
+        self._sequence += 1
+        own = self._knowledge.places.loads.own()
+        return ttypes.LoadChange(
+            node=self._identity.name,
+            incarnation=self._identity.incarnation,
+            sequence=self._sequence,
+            loads=[
+                _load(endpoint_id, own.get(endpoint_id) or loads.Load())
+                for endpoint_id in endpoint_ids
+            ],
+        )
+
+    def heard_loads(self, change: ttypes.LoadChange) -> None:
+        """Takes a peer's loads that changed."""
+        self._knowledge.places.loads.hear_change(
+            change.node, _loads(change.loads)
+        )
+
+    def heard(self, beat: ttypes.Heartbeat) -> None:
+        """Takes a peer's heartbeat."""
         now_s = clock.boottime()
         has = self._knowledge
         has.places.loads.hear(
             beat.node,
-            {
-                item.endpoint_id: loads.Load(
-                    item.runs,
-                    item.tokens,
-                    item.prefill_tokens,
-                    item.unsaved_runs,
-                )
-                for item in beat.loads
-            },
+            _loads(beat.loads),
             now_s + has.members.silent_limit_s(),
         )
         self._hear_rollouts(beat)
@@ -138,10 +162,11 @@
         )
         for endpoint_id in beat.leaving:
             has.known.leaving(endpoint_id)
-        return (
+        if (
             beat.orders_version > has.orders.version
             or beat.endpoints_version > has.endpoints.version
-        )
+        ):
+            self._newer(beat.host)
 
     def _version_counts(self) -> list[ttypes.VersionCount]:
         return [
@@ -188,6 +213,21 @@
             known.settle(item.service_name, item.order_version, state)
 
 
+def _load(endpoint_id: str, load: loads.Load) -> ttypes.EndpointLoad:
+    return ttypes.EndpointLoad(
+        endpoint_id, load.runs, load.tokens, load.prefill, load.unsaved
+    )
+
+
+def _loads(items: list[ttypes.EndpointLoad]) -> dict[str, loads.Load]:
+    return {
+        item.endpoint_id: loads.Load(
+            item.runs, item.tokens, item.prefill_tokens, item.unsaved_runs
+        )
+        for item in items
+    }
+
+
 def _ms_ago(at_s: float, now_s: float) -> int:
     """Returns milliseconds since an instant; -1 if it never was."""
     return -1 if at_s == float("-inf") else int((now_s - at_s) * 1e3)
--- a/libs/routing/src/dandelionlead/routing/loads.py
+++ b/libs/routing/src/dandelionlead/routing/loads.py
@@ -56,11 +56,12 @@
     """Own requests and the latest word of each peer.
 
     Attributes:
-        changed: Called after each change of the own generations.
+        changed: Called with the id of an endpoint after each change of the
+            own generations there.
     """
 
     def __init__(self) -> None:
-        self.changed: Callable[[], None] = _nothing
+        self.changed: Callable[[str], None] = _nothing
         self._own: dict[str, Load] = {}
         self._peers: dict[str, tuple[float, dict[str, Load]]] = {}
 
@@ -77,7 +78,7 @@
         """
         load = self._own.setdefault(endpoint_id, Load())
         load.add(Load(runs, tokens, prefill))
-        self._tell(tokens)
+        self._tell(endpoint_id, tokens)
         return Ticket(endpoint_id, tokens, prefill, runs)
 
     def prefilled(self, ticket: Ticket) -> None:
@@ -85,7 +86,7 @@
         if ticket.prefill:
             self._own[ticket.endpoint_id].prefill -= ticket.prefill
             ticket.prefill = 0
-            self.changed()
+            self.changed(ticket.endpoint_id)
 
     def expose(self, ticket: Ticket) -> None:
         """Notes that a generation would be lost with its endpoint."""
@@ -110,17 +111,17 @@
                 found[peer] = load.unsaved
         return found
 
-    def _tell(self, tokens: int) -> None:
+    def _tell(self, endpoint_id: str, tokens: int) -> None:
         """Tells of work that takes memory; short calls wait for a heartbeat."""
         if tokens:
-            self.changed()
+            self.changed(endpoint_id)
 
     def _mark(self, ticket: Ticket, unsaved: int) -> None:
         if ticket.unsaved != unsaved:
             load = self._own[ticket.endpoint_id]
             load.unsaved += unsaved - ticket.unsaved
             ticket.unsaved = unsaved
-            self.changed()
+            self.changed(ticket.endpoint_id)
 
     def end(self, ticket: Ticket) -> None:
         """Takes work off that ended or left the endpoint."""
@@ -129,7 +130,7 @@
         load.add(Load(-ticket.runs, -ticket.tokens, -ticket.prefill))
         if not load.runs and not load.tokens:
             del self._own[ticket.endpoint_id]
-        self._tell(ticket.tokens)
+        self._tell(ticket.endpoint_id, ticket.tokens)
 
     def hear(self, peer: str, loads: dict[str, Load], until_s: float) -> None:
         """Takes a peer's word on its own requests; it replaces the last.
@@ -141,6 +142,13 @@
         """
         self._peers[peer] = (until_s, loads)
 
+    def hear_change(self, peer: str, loads: dict[str, Load]) -> None:
+        """Takes a peer's word on some endpoints; the others stay."""
+        known = self._peers.get(peer)
+        if known is None:
+            return
+        known[1].update(loads)
+
     def own(self) -> dict[str, Load]:
         """Returns the loads that this process causes, by endpoint."""
         return self._own
@@ -163,5 +171,5 @@
         return totals
 
 
-def _nothing() -> None:
+def _nothing(_: str) -> None:
     """Stands for a listener where there is none."""
