Share what processes see of failing endpoints; use rested connections with care

Endpoints that say they are well and fail cost each of 59 processes its own calls before it learns; endpoints that forget connections which rested for 300 ms reset what is sent next, and an order may then not be sent again.

Change: heartbeats name endpoints with 1.5 failures and more, if these are 0.3 of the answers; the share of failures counts the peers' evidence. Calls that may not be sent twice use connections that rested 250 ms at most; an endpoint that forgot one is asked over fresher ones.

--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -18,6 +18,13 @@
   2: string endpoint_id
 }
 
+// What one process saw of an endpoint that fails; older answers count less.
+struct EndpointHealth {
+  1: string endpoint_id
+  2: double answers
+  3: double failures
+}
+
 // Calls of one process to the new or the old version of a service.
 struct VersionCount {
   1: string service_name
@@ -67,6 +74,7 @@
   // Milliseconds since the endpoints were read from the store; negative: never.
   17: i32 endpoints_read_ms_ago
   18: list<Verdict> verdicts
+  19: list<EndpointHealth> doubtful
 }
 
 // Loads of some endpoints, told between two heartbeats.
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -212,6 +212,98 @@
         return not (self == other)
 
 
+class EndpointHealth(object):
+    """
+    Attributes:
+     - endpoint_id
+     - answers
+     - failures
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'answers',
+        'failures',
+    )
+
+
+    def __init__(self, endpoint_id=None, answers=None, failures=None,):
+        self.endpoint_id = endpoint_id
+        self.answers = answers
+        self.failures = failures
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.answers = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.failures = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointHealth')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.DOUBLE, 2)
+            oprot.writeDouble(self.answers)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.DOUBLE, 3)
+            oprot.writeDouble(self.failures)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class VersionCount(object):
     """
     Attributes:
@@ -465,6 +557,7 @@
      - known_hosts
      - endpoints_read_ms_ago
      - verdicts
+     - doubtful
 
     """
 
@@ -487,10 +580,11 @@
         'known_hosts',
         'endpoints_read_ms_ago',
         'verdicts',
+        'doubtful',
     )
 
 
-    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None,):
+    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None, doubtful=None,):
         self.node = node
         self.incarnation = incarnation
         self.sequence = sequence
@@ -509,6 +603,7 @@
         self.known_hosts = known_hosts
         self.endpoints_read_ms_ago = endpoints_read_ms_ago
         self.verdicts = verdicts
+        self.doubtful = doubtful
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -643,6 +738,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.doubtful = []
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = EndpointHealth()
+                        _elem41.read(iprot)
+                        self.doubtful.append(_elem41)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -700,36 +806,36 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter36 in self.loads:
-                iter36.write(oprot)
+            for iter42 in self.loads:
+                iter42.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter37 in self.leaving:
-                oprot.writeString(iter37.encode('utf-8') if sys.version_info[0] == 2 else iter37)
+            for iter43 in self.leaving:
+                oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter38 in self.crashes:
-                iter38.write(oprot)
+            for iter44 in self.crashes:
+                iter44.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter39 in self.versions:
-                iter39.write(oprot)
+            for iter45 in self.versions:
+                iter45.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_hosts is not None:
             oprot.writeFieldBegin('known_hosts', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter40 in self.known_hosts:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter46 in self.known_hosts:
+                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read_ms_ago is not None:
@@ -739,8 +845,15 @@
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter41 in self.verdicts:
-                iter41.write(oprot)
+            for iter47 in self.verdicts:
+                iter47.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.doubtful is not None:
+            oprot.writeFieldBegin('doubtful', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.doubtful))
+            for iter48 in self.doubtful:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -819,11 +932,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = EndpointLoad()
-                        _elem47.read(iprot)
-                        self.loads.append(_elem47)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = EndpointLoad()
+                        _elem54.read(iprot)
+                        self.loads.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -852,8 +965,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter48 in self.loads:
-                iter48.write(oprot)
+            for iter55 in self.loads:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1022,11 +1135,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = Row()
-                        _elem54.read(iprot)
-                        self.rows.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = Row()
+                        _elem61.read(iprot)
+                        self.rows.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1061,8 +1174,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter55 in self.rows:
-                iter55.write(oprot)
+            for iter62 in self.rows:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1125,11 +1238,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.known_versions = {}
-                    (_ktype57, _vtype58, _size56) = iprot.readMapBegin()
-                    for _i60 in range(_size56):
-                        _key61 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val62 = iprot.readI64()
-                        self.known_versions[_key61] = _val62
+                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
+                    for _i67 in range(_size63):
+                        _key68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val69 = iprot.readI64()
+                        self.known_versions[_key68] = _val69
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1146,9 +1259,9 @@
         if self.known_versions is not None:
             oprot.writeFieldBegin('known_versions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.known_versions))
-            for kiter63, viter64 in self.known_versions.items():
-                oprot.writeString(kiter63.encode('utf-8') if sys.version_info[0] == 2 else kiter63)
-                oprot.writeI64(viter64)
+            for kiter70, viter71 in self.known_versions.items():
+                oprot.writeString(kiter70.encode('utf-8') if sys.version_info[0] == 2 else kiter70)
+                oprot.writeI64(viter71)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1203,11 +1316,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype68, _size65) = iprot.readListBegin()
-                    for _i69 in range(_size65):
-                        _elem70 = Table()
-                        _elem70.read(iprot)
-                        self.tables.append(_elem70)
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = Table()
+                        _elem77.read(iprot)
+                        self.tables.append(_elem77)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1224,8 +1337,8 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter71 in self.tables:
-                iter71.write(oprot)
+            for iter78 in self.tables:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1266,6 +1379,13 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 2
 )
+all_structs.append(EndpointHealth)
+EndpointHealth.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'answers', None, None, ),  # 2
+    (3, TType.DOUBLE, 'failures', None, None, ),  # 3
+)
 all_structs.append(VersionCount)
 VersionCount.thrift_spec = (
     None,  # 0
@@ -1305,6 +1425,7 @@
     (16, TType.LIST, 'known_hosts', (TType.STRING, 'UTF8', False), None, ),  # 16
     (17, TType.I32, 'endpoints_read_ms_ago', None, None, ),  # 17
     (18, TType.LIST, 'verdicts', (TType.STRUCT, [Verdict, None], False), None, ),  # 18
+    (19, TType.LIST, 'doubtful', (TType.STRUCT, [EndpointHealth, None], False), None, ),  # 19
 )
 all_structs.append(LoadChange)
 LoadChange.thrift_spec = (
--- a/libs/cluster/tests/test_peers.py
+++ b/libs/cluster/tests/test_peers.py
@@ -56,6 +56,7 @@
             versions=[],
             verdicts=[],
             known_hosts=[],
+            doubtful=[],
         )
 
     def describe_loads(self, endpoint_ids: set[str]) -> ttypes.LoadChange:
--- a/libs/gateway/src/dandelionlead/gateway/attempt.py
+++ b/libs/gateway/src/dandelionlead/gateway/attempt.py
@@ -66,7 +66,11 @@
             resumption: Where an earlier run goes on.
             backup: Engine that keeps a copy of the run's memory.
         """
-        conn = self._pool.take(endpoint, until_s - clock.boottime())
+        conn = self._pool.take(
+            endpoint,
+            until_s - clock.boottime(),
+            once=not admitted.route.repeatable,
+        )
         if isinstance(conn, errors.Failure):
             return conn
         kept = False
@@ -83,11 +87,24 @@
                 conn, admitted.call, endpoint, headers, until_s
             )
             kept = isinstance(started, Started)
+            if not kept:
+                self._note_rest(conn, endpoint, started)
             return started
         finally:
             if not kept:
                 conn.close()
 
+    def _note_rest(
+        self,
+        conn: channel.Channel,
+        endpoint: model.Endpoint,
+        failure: errors.Failure,
+    ) -> None:
+        """Learns from a connection that broke when it was used again."""
+        broke = failure.kind is errors.Kind.ENDPOINT_FAILED
+        if broke and conn.rested_s:
+            self._pool.forgotten(endpoint, conn.rested_s)
+
     def finish(self, started: Started) -> None:
         """Gives the connection of a complete response back."""
         if started.answer.leaving:
--- a/libs/gateway/src/dandelionlead/gateway/heartbeats.py
+++ b/libs/gateway/src/dandelionlead/gateway/heartbeats.py
@@ -10,6 +10,7 @@
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
 from dandelionlead.gateway import standing
+from dandelionlead.routing import health
 from dandelionlead.routing import loads
 from dandelionlead.routing import placement
 from dandelionlead.routing import rollouts
@@ -121,6 +122,12 @@
                 ttypes.CrashMark(fingerprint, endpoint_id)
                 for fingerprint, endpoint_id in has.places.crashes.marks(now_s)
             ],
+            doubtful=[
+                ttypes.EndpointHealth(endpoint_id, seen.answers, seen.failures)
+                for endpoint_id, seen in has.places.health.doubtful(
+                    now_s
+                ).items()
+            ],
             versions=self._version_counts(),
             verdicts=self._known_verdicts(),
             known_hosts=peers.known_hosts(has.members),
@@ -155,6 +162,14 @@
             _loads(beat.loads),
             now_s + has.members.silent_limit_s(),
         )
+        has.places.health.hear(
+            beat.node,
+            {
+                item.endpoint_id: health.Evidence(item.answers, item.failures)
+                for item in beat.doubtful
+            },
+            now_s + has.members.silent_limit_s(),
+        )
         self._hear_rollouts(beat)
         has.places.crashes.hear(
             [(mark.fingerprint, mark.endpoint_id) for mark in beat.crashes],
--- a/libs/gateway/src/dandelionlead/gateway/pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.http import channel
@@ -14,6 +16,13 @@
 IDLE_PART = 0.6
 MAX_IDLE_S = 4.0
 MAX_IDLE_PER_ENDPOINT = 8
+# Some endpoints forget connections that rested, without a word. A call that
+# may not be sent twice goes only over one that rested no longer than this.
+MAX_IDLE_ONCE_S = 0.25
+# Once an endpoint forgot a connection, others to it count for this part of
+# the time that it had rested.
+_FORGOTTEN_PART = 0.5
+_LEAST_IDLE_S = 0.05
 CONNECT_TIMEOUT_S = 0.5
 
 
@@ -22,21 +31,32 @@
 
     def __init__(self) -> None:
         self._idle: dict[str, list[channel.Channel]] = {}
+        self._rest_limits_s: dict[str, float] = {}
 
     def take(
-        self, endpoint: model.Endpoint, timeout_s: float
+        self,
+        endpoint: model.Endpoint,
+        timeout_s: float,
+        *,
+        once: bool = False,
     ) -> channel.Channel | errors.Failure:
         """Returns a connection that is idle, or opens one.
 
         Args:
             endpoint: Where to.
             timeout_s: Longest time for opening one.
+            once: Whether the request must not be sent a second time.
         """
         now = clock.boottime()
+        limit_s = self._rest_limits_s.get(endpoint.endpoint_id, MAX_IDLE_S)
+        if once:
+            limit_s = min(limit_s, MAX_IDLE_ONCE_S)
         idle = self._idle.get(endpoint.endpoint_id, [])
-        while idle:
+        # The one that rested least is last.
+        while idle and now - idle[-1].idle_since_s <= limit_s:
             conn = idle.pop()
             if conn.address == endpoint.address and _usable(conn, now):
+                conn.rested_s = now - conn.idle_since_s
                 return conn
             conn.close()
         return channel.connect(
@@ -54,9 +74,21 @@
             return
         idle.append(conn)
 
-    def sweep(self) -> None:
-        """Closes connections that will not be used again."""
+    def forgotten(self, endpoint: model.Endpoint, rested_s: float) -> None:
+        """Notes that an endpoint did not know a connection that had rested."""
+        limit_s = max(_LEAST_IDLE_S, rested_s * _FORGOTTEN_PART)
+        known_s = self._rest_limits_s.get(endpoint.endpoint_id, MAX_IDLE_S)
+        self._rest_limits_s[endpoint.endpoint_id] = min(known_s, limit_s)
+
+    def sweep(self, endpoint_ids: Collection[str]) -> None:
+        """Closes connections that will not be used again.
+
+        Args:
+            endpoint_ids: Endpoints that exist.
+        """
         now = clock.boottime()
+        for gone in set(self._rest_limits_s) - set(endpoint_ids):
+            del self._rest_limits_s[gone]
         for endpoint_id, idle in list(self._idle.items()):
             kept = []
             for conn in idle:
--- a/libs/http/src/dandelionlead/http/channel.py
+++ b/libs/http/src/dandelionlead/http/channel.py
@@ -70,6 +70,8 @@
         idle_since_s: When its last response was complete.
         idle_limit_s: How long the peer keeps it open while idle.
         sent: Whether a byte of the present request may have left.
+        rested_s: How long it had been idle before the present request; 0 if
+            it was new.
     """
 
     __slots__ = (
@@ -78,6 +80,7 @@
         "idle_since_s",
         "idle_limit_s",
         "sent",
+        "rested_s",
         "_sock",
         "_http",
         "_closed",
@@ -91,6 +94,7 @@
         self.idle_since_s = self.opened_s
         self.idle_limit_s = 5.0
         self.sent = False
+        self.rested_s = 0.0
         self._sock = sock
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
--- a/libs/routing/src/dandelionlead/routing/health.py
+++ b/libs/routing/src/dandelionlead/routing/health.py
@@ -1,4 +1,4 @@
-"""What this process saw of each endpoint's answers lately."""
+"""What this process and its peers saw of each endpoint's answers lately."""
 
 from __future__ import annotations
 
@@ -10,6 +10,25 @@
 LONGEST_PAUSE_S = 4.0
 # Weight of the prior: an endpoint without evidence is taken to be sound.
 _PRIOR_ANSWERS = 4.0
+# Peers are told of endpoints with so many failures and so large a share of
+# them; less may be due to the requests.
+_TOLD_FAILURES = 1.5
+_TOLD_SHARE = 0.3
+
+
+class Evidence:
+    """What one process saw of an endpoint lately.
+
+    Attributes:
+        answers: Answers, older ones counting less.
+        failures: Those of them that were failures.
+    """
+
+    __slots__ = ("answers", "failures")
+
+    def __init__(self, answers: float, failures: float) -> None:
+        self.answers = answers
+        self.failures = failures
 
 
 class _Record:
@@ -34,6 +53,33 @@
 
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
+        self._peers: dict[str, tuple[float, dict[str, Evidence]]] = {}
+
+    def doubtful(self, now_s: float) -> dict[str, Evidence]:
+        """Returns what peers should know, by endpoint."""
+        found = {}
+        for endpoint_id, record in self._records.items():
+            record.decay(now_s)
+            if record.failures < _TOLD_FAILURES:
+                continue
+            if record.failures >= _TOLD_SHARE * record.answers:
+                found[endpoint_id] = Evidence(record.answers, record.failures)
+        return found
+
+    def hear(
+        self, peer: str, evidence: dict[str, Evidence], until_s: float
+    ) -> None:
+        """Takes a peer's evidence; it replaces the last.
+
+        Args:
+            peer: Its name.
+            evidence: What it saw, by endpoint.
+            until_s: Instant up to which it counts.
+        """
+        if evidence:
+            self._peers[peer] = (until_s, evidence)
+        else:
+            self._peers.pop(peer, None)
 
     def answered(self, endpoint_id: str, now_s: float, *, failed: bool) -> None:
         """Notes an answer; `failed` if its status tells of a fault."""
@@ -59,11 +105,18 @@
 
     def failure_share(self, endpoint_id: str, now_s: float) -> float:
         """Returns the share of failures lately, 0 to 1."""
+        answers, failures = _PRIOR_ANSWERS, 0.0
         record = self._records.get(endpoint_id)
-        if record is None:
-            return 0.0
-        record.decay(now_s)
-        return record.failures / (record.answers + _PRIOR_ANSWERS)
+        if record is not None:
+            record.decay(now_s)
+            answers += record.answers
+            failures += record.failures
+        for until_s, evidence in self._peers.values():
+            seen = evidence.get(endpoint_id)
+            if seen is not None and now_s <= until_s:
+                answers += seen.answers
+                failures += seen.failures
+        return failures / answers
 
     def keep(self, endpoint_ids: set[str]) -> None:
         """Forgets endpoints that no longer exist."""
--- a/libs/routing/tests/test_decisions.py
+++ b/libs/routing/tests/test_decisions.py
@@ -248,6 +248,30 @@
         self.assertFalse(book.paused("e", 1.96))
 
 
+class SharedHealthTest(unittest.TestCase):
+    """Each of many processes loses calls to an endpoint that fails.
+
+    Load pattern: 59 processes send one order a second each to four workers,
+    one of which says that it is well and fails all.
+    """
+
+    def test_evidence_of_one_keeps_all_away(self) -> None:
+        first, other = health.HealthBook(), health.HealthBook()
+        for _ in range(2):
+            first.answered("sick", 10.0, failed=True)
+        other.hear("first", first.doubtful(10.1), 13.0)
+        self.assertGreater(other.failure_share("sick", 10.1), 0.3)
+        self.assertEqual(other.failure_share("sick", 13.1), 0.0)
+        other.hear("first", {}, 13.0)
+        self.assertEqual(other.failure_share("sick", 10.1), 0.0)
+
+    def test_requests_that_fail_anywhere_are_not_told(self) -> None:
+        book = health.HealthBook()
+        for number in range(40):
+            book.answered("well", 10.0, failed=number % 10 == 0)
+        self.assertEqual(book.doubtful(10.1), {})
+
+
 class PaceTest(unittest.TestCase):
     """Patience that does not know how fast engines read prompts."""
 
