--- a/libs/core/src/dandelionlead/core/events.py
+++ b/libs/core/src/dandelionlead/core/events.py
@@ -14,7 +14,11 @@
 # request, the ring covers about 70 seconds and 1.6 MB.
 RING_EVENTS = 8192
 
-_LINE_FORMAT = "{record.message}"
+# Lines that a process writes a second over time, and at one moment. At four
+# lines for a generation and one for a short call, the first is what 500 short
+# calls and 100 generations a second write.
+LINES_PER_S = 1_000.0
+BURST_LINES = 4_000.0
 # A pipe takes writes of this size whole or not at all.
 _PIPE_LINE_BYTES = 4_096
 
@@ -72,33 +76,40 @@
         return list(self._ring)[-count:]
 
 
-def log_to_stderr() -> None:
-    """Sends all log lines to standard error; called once by programs."""
-    handler = logbook.StreamHandler(sys.stderr, level=logbook.INFO)
-    handler.format_string = _LINE_FORMAT
-    handler.push_application()
-
-
 class PipeHandler(logbook.Handler):
     """Writes lines to a descriptor that may be full; never waits for it.
 
-    A line that does not fit is dropped and counted. The next line that fits
-    is preceded by one that tells how many were.
+    A line that does not fit, or is beyond the rate, is dropped and
+    counted. The next one that is written is preceded by one that tells how
+    many were.
 
     Attributes:
         dropped: Lines that were dropped since the last one written.
         dropped_total: Lines that were dropped at all.
     """
 
-    def __init__(self, descriptor: int) -> None:
+    def __init__(
+        self,
+        descriptor: int,
+        *,
+        lines_per_s: float = LINES_PER_S,
+        burst_lines: float = BURST_LINES,
+    ) -> None:
         super().__init__(logbook.INFO)
         self._descriptor = descriptor
+        self._lines_per_s = lines_per_s
+        self._burst_lines = burst_lines
         self.dropped = 0
         self.dropped_total = 0
+        self._allowance = burst_lines
+        self._written_s = clock.boottime()
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Writes one line, or drops it."""
+        if not self._may_write():
+            self._drop()
+            return
         line = record.message + "\n"
         if self.dropped:
             line = f"event=log_dropped lines={self.dropped}\n{line}"
@@ -107,11 +118,25 @@
         try:
             os.write(self._descriptor, data)
         except OSError:
-            self.dropped += 1
-            self.dropped_total += 1
+            self._drop()
         else:
             self.dropped = 0
 
+    def _drop(self) -> None:
+        self.dropped += 1
+        self.dropped_total += 1
+
+    def _may_write(self) -> bool:
+        """Takes one line from the allowance; returns whether there was one."""
+        now_s = clock.boottime()
+        gained = (now_s - self._written_s) * self._lines_per_s
+        self._written_s = now_s
+        self._allowance = min(self._burst_lines, self._allowance + gained)
+        if self._allowance < 1.0:
+            return False
+        self._allowance -= 1.0
+        return True
+
 
 def log_to_stdout() -> PipeHandler:
     """Sends all log lines to standard output without ever waiting."""
--- a/libs/core/src/dandelionlead/core/metrics.py
+++ b/libs/core/src/dandelionlead/core/metrics.py
@@ -13,16 +13,24 @@
 
 
 class Registry:
-    """Metrics by name, written in the Prometheus text format."""
+    """Metrics by name, written in the Prometheus text format.
 
-    def __init__(self) -> None:
-        self._counters: dict[str, int] = {}
+    Args:
+        help_texts: What each metric means, by its name without labels. Names
+            end with their unit.
+    """
+
+    def __init__(self, help_texts: dict[str, str]) -> None:
+        self._help = help_texts
+        self._counters: dict[str, dict[str, int]] = {}
         self._gauges: dict[str, Callable[[], float]] = {}
         self._histograms: dict[str, histogram.HdrHistogram] = {}
 
-    def count(self, name: str, amount: int = 1) -> None:
+    def count(self, name: str, *, amount: int = 1, **labels: str) -> None:
         """Adds to a counter."""
-        self._counters[name] = self._counters.get(name, 0) + amount
+        series = self._counters.setdefault(name, {})
+        key = ",".join(f'{label}="{labels[label]}"' for label in sorted(labels))
+        series[key] = series.get(key, 0) + amount
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
         """Registers a value that is read when the metrics are asked for."""
@@ -38,28 +46,23 @@
             self._histograms[name] = hist
         hist.record_value(max(_LOWEST_US, int(seconds * 1e6)))
 
-    def counter(self, name: str) -> int:
-        """Returns the value of a counter; 0 if it was never added to."""
-        return self._counters.get(name, 0)
-
-    def quantile_s(self, name: str, quantile: float) -> float:
-        """Returns a quantile (0 to 1) in seconds; 0 without records."""
-        hist = self._histograms.get(name)
-        if hist is None:
-            return 0.0
-        return hist.get_value_at_percentile(quantile * 100) / 1e6
-
     def render(self) -> str:
         """Returns all metrics as text, sorted by name."""
         lines = []
-        for name, value in sorted(self._counters.items()):
-            lines += [f"# TYPE {name} counter", f"{name} {value}"]
+        for name, series in sorted(self._counters.items()):
+            lines += self._head(name, "counter")
+            for labels, value in sorted(series.items()):
+                shown = f"{{{labels}}}" if labels else ""
+                lines.append(f"{name}{shown} {value}")
         for name, read in sorted(self._gauges.items()):
-            lines += [f"# TYPE {name} gauge", f"{name} {read():g}"]
+            lines += [*self._head(name, "gauge"), f"{name} {read():g}"]
         for name, hist in sorted(self._histograms.items()):
-            lines.append(f"# TYPE {name} summary")
+            lines += self._head(name, "summary")
             for quantile in _QUANTILES:
                 value = hist.get_value_at_percentile(quantile * 100) / 1e6
                 lines.append(f'{name}{{quantile="{quantile}"}} {value:g}')
             lines.append(f"{name}_count {hist.get_total_count()}")
         return "\n".join(lines) + "\n"
+
+    def _head(self, name: str, kind: str) -> list[str]:
+        return [f"# HELP {name} {self._help[name]}", f"# TYPE {name} {kind}"]
--- a/libs/core/tests/test_log_pipe.py
+++ b/libs/core/tests/test_log_pipe.py
@@ -16,7 +16,9 @@
 
     def setUp(self) -> None:
         self.reader, self.writer = os.pipe()
-        self.handler = events.PipeHandler(self.writer)
+        self.handler = events.PipeHandler(
+            self.writer, lines_per_s=1e9, burst_lines=1e9
+        )
         self.log = events.Log("test", ring_events=8)
 
     def tearDown(self) -> None:
@@ -51,5 +53,33 @@
         self.assertEqual(len(os.read(self.reader, 65_536)), 4_096)
 
 
+class RateTest(unittest.TestCase):
+    """A flood of events takes the processor and the disk of the reader."""
+
+    def setUp(self) -> None:
+        self.reader, self.writer = os.pipe()
+        os.set_blocking(self.reader, False)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.writer)
+
+    def test_lines_beyond_the_rate_are_counted(self) -> None:
+        handler = events.PipeHandler(
+            self.writer, lines_per_s=20.0, burst_lines=5.0
+        )
+        log = events.Log("test", ring_events=100)
+        with handler.applicationbound():
+            for number in range(50):
+                log.event("line", number=number)
+            self.assertGreaterEqual(handler.dropped, 40)
+            dropped = handler.dropped
+            time.sleep(0.12)
+            log.event("after")
+        text = os.read(self.reader, 65_536).decode()
+        self.assertLessEqual(text.count("event=line"), 10)
+        self.assertIn(f"event=log_dropped lines={dropped}\n", text)
+        self.assertIn("event=after", text)
+        self.assertEqual(len(log.latest(100)), 51)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/gateway/src/dandelionlead/gateway/accounting.py
+++ b/libs/gateway/src/dandelionlead/gateway/accounting.py
@@ -7,6 +7,7 @@
 from dandelionlead.core import events
 from dandelionlead.core import metrics
 from dandelionlead.gateway import dialect
+from dandelionlead.gateway import relay
 from dandelionlead.http import callers
 from dandelionlead.routing import calls
 from dandelionlead.routing import view
@@ -35,6 +36,17 @@
         headers = self._words.failure_headers(failure, request_id)
         reply.whole(status, headers, callers.problem(failure))
 
+    def generation(self, call: calls.Call, ended: relay.Outcome) -> None:
+        """Counts how a generation ended."""
+        end = "complete" if ended.complete else "torn"
+        self._metrics.count("generations_total", end=end)
+        self._metrics.record("event_gap_seconds", ended.longest_gap_s)
+        if ended.first_s:
+            first_s = ended.first_s - call.arrived_s
+            self._metrics.record("first_event_seconds", first_s)
+        if ended.moves:
+            self._metrics.count("moves_total", amount=ended.moves)
+
     def call(
         self,
         call: calls.Call,
@@ -55,8 +67,9 @@
         configuration = self._view.configuration
         version = configuration.version if configuration else -1
         outcome = "answered" if failure is None else failure.kind.value
-        self._metrics.count(f'calls_total{{outcome="{outcome}"}}')
+        self._metrics.count("calls_total", outcome=outcome)
         self._metrics.record("call_seconds", took_s)
+        self._metrics.count("tries_total", amount=fields.get("tries", 0))
         self._log.event(
             "call",
             req=call.request_id,
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -148,6 +148,7 @@
             fields["caller"] = "gone"
         outcome = self._outcome
         if outcome is not None:
+            self._parts.accounts.generation(self._call, outcome)
             fields["events"] = outcome.events
             fields["complete"] = outcome.complete
             fields["gap_ms"] = int(outcome.longest_gap_s * 1e3)
