--- a/libs/gateway/src/dandelionlead/gateway/pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Collection
 
 from dandelionlead.core import clock
@@ -27,9 +28,15 @@
 
 
 class Pool:
-    """Connections by endpoint; an incarnation never inherits another's."""
+    """Connections by endpoint; an incarnation never inherits another's.
 
-    def __init__(self) -> None:
+    Args:
+        share: Returns how many of the connections that an endpoint accepts
+            this process may have. Half of them may be idle.
+    """
+
+    def __init__(self, share: Callable[[model.Endpoint], int]) -> None:
+        self._share = share
         self._idle: dict[str, list[channel.Channel]] = {}
         self._rest_limits_s: dict[str, float] = {}
 
@@ -68,7 +75,8 @@
     ) -> None:
         """Takes a connection after an exchange; closes it if it is spent."""
         idle = self._idle.setdefault(endpoint.endpoint_id, [])
-        full = len(idle) >= MAX_IDLE_PER_ENDPOINT
+        most = min(MAX_IDLE_PER_ENDPOINT, self._share(endpoint) // 2)
+        full = len(idle) >= max(1, most)
         if full or not conn.finish():
             conn.close()
             return
--- a/libs/gateway/tests/test_pool.py
+++ b/libs/gateway/tests/test_pool.py
@@ -8,6 +8,7 @@
 
 import time
 import unittest
+from unittest import mock
 
 import eventlet
 import eventlet.green.socket as green_socket
@@ -27,7 +28,7 @@
         eventlet.spawn_n(self._accept)
         host, port = self._sock.getsockname()
         self.endpoint = model.Endpoint("e", "s", host, port, "a")
-        self.pool = pool.Pool()
+        self.pool = pool.Pool(lambda _: 50)
 
     def _accept(self) -> None:
         while True:
@@ -52,12 +53,26 @@
         )
         for rested_s, once, used in table:
             with self.subTest(rested_s=rested_s, once=once):
-                self.pool = pool.Pool()
+                self.pool = pool.Pool(lambda _: 50)
                 conn = self._rested(rested_s)
                 taken = self.pool.take(self.endpoint, 1.0, once=once)
                 self.assertEqual(taken is conn, used)
                 self.assertEqual(taken.rested_s > 0, used)
 
+    def test_idle_ones_are_bounded_by_the_share_of_this_process(self) -> None:
+        # share of this process, connections given back, kept
+        table = ((50, 12, 8), (9, 12, 4), (1, 3, 1), (0, 3, 1))
+        for share, given, kept in table:
+            with self.subTest(share=share):
+                self.pool = pool.Pool(lambda _, share=share: share)
+                for _ in range(given):
+                    conn = channel.connect(self.endpoint.address, 1.0)
+                    with mock.patch.object(
+                        channel.Channel, "finish", return_value=True
+                    ):
+                        self.pool.give_back(self.endpoint, conn)
+                self.assertEqual(len(self.pool._idle["e"]), kept)
+
     def test_learns_how_long_connections_are_kept(self) -> None:
         self.pool.forgotten(self.endpoint, 0.4)
         conn = self._rested(0.3)
--- a/libs/routing/src/dandelionlead/routing/placement.py
+++ b/libs/routing/src/dandelionlead/routing/placement.py
@@ -19,6 +19,9 @@
 from dandelionlead.routing import policy
 from dandelionlead.routing import view
 
+# Share of an endpoint that does not say how many connections it accepts.
+_UNBOUNDED_CONNECTIONS = 1_000
+
 
 class Cluster:
     """This process among its peers.
@@ -147,6 +150,18 @@
             far_cost=far_cost,
         )
 
+    def connection_share(self, endpoint: model.Endpoint) -> int:
+        """Returns the connections to an endpoint that this process may have.
+
+        An endpoint accepts so many from all processes together.
+        """
+        configuration = self._view.configuration
+        services = configuration.services if configuration else {}
+        service = services.get(endpoint.service)
+        if service is None or not service.max_connections:
+            return _UNBOUNDED_CONNECTIONS
+        return service.max_connections // len(self._cluster.members())
+
     def any_open(self, service: str) -> bool:
         """Whether a service has an endpoint that may get work."""
         return bool(self._view.open_endpoints(service))
--- /dev/null
+++ b/tools/measure_path.py
@@ -0,0 +1,207 @@
+"""Measures the processor time of two HTTP layers that forward requests.
+
+One is `dandelionlead.http` (h11 on eventlet's sockets), the other eventlet's
+WSGI server with urllib3. Both forward to the same small endpoint, for the same
+callers; those run in processes of their own. Prints microseconds of processor
+time for a short request and for an event of a stream.
+"""
+
+from __future__ import annotations
+
+import socket
+import subprocess
+import sys
+import time
+import warnings
+from collections.abc import Callable
+from typing import Literal
+
+# docs/style.md says why eventlet is used.
+warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+
+import cyclopts  # noqa: E402
+import eventlet  # noqa: E402
+import eventlet.green.socket as green_socket  # noqa: E402
+import eventlet.green.subprocess as green_subprocess  # noqa: E402
+import eventlet.wsgi as wsgi  # noqa: E402
+
+from dandelionlead.core import clock  # noqa: E402
+from dandelionlead.http import callers  # noqa: E402
+from dandelionlead.http import channel  # noqa: E402
+from dandelionlead.http import limits  # noqa: E402
+
+_REQUESTS = 3_000
+_STREAMS = 20
+_EVENTS = 150
+_EVENT_PAUSE_S = 0.01
+_CALLERS = 8
+_LIMIT_S = 30.0
+_HOST = "127.0.0.1"
+_BODY = b"x" * 800
+_EVENT = b"id: 1\ndata: " + b"t" * 40 + b"\n\n"
+
+_app = cyclopts.App(name="measure_path", help=__doc__, version_flags=())
+
+
+class _Forwarder(callers.Handler):
+    """Forwards with the layer of this project."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self._target = target
+        self._idle: list[channel.Channel] = []
+
+    def handle(self, request: callers.Request, reply: callers.Reply) -> None:
+        until_s = clock.boottime() + _LIMIT_S
+        conn = self._idle.pop() if self._idle else self._connect()
+        headers = [(b"Host", b"e")]
+        conn.send(request.method, request.target, headers, b"", _LIMIT_S)
+        head = conn.read_head(until_s)
+        if request.target == b"/stream":
+            reply.start(200, [(b"Content-Type", b"text/event-stream")])
+            while (data := conn.read(until_s)) is not channel.END:
+                reply.send(data)
+            reply.end()
+        else:
+            body = conn.read_all(until_s, 10_000)
+            reply.whole(head.status, [], body)
+        if conn.finish():
+            self._idle.append(conn)
+
+    def _connect(self) -> channel.Channel:
+        return channel.connect(self._target, _LIMIT_S)
+
+    def limits(self) -> limits.Limits:
+        return limits.Limits()
+
+    def closing(self) -> bool:
+        return False
+
+
+def _serve_h11(sock: socket.socket, target: tuple[str, int]) -> None:
+    address = sock.getsockname()
+    sock.close()
+    callers.Listener(address, _Forwarder(target)).run()
+
+
+def _serve_wsgi(sock: socket.socket, target: tuple[str, int]) -> None:
+    urllib3 = eventlet.import_patched("urllib3")
+    pool = urllib3.HTTPConnectionPool(*target, maxsize=64, retries=False)
+
+    def app(environ: dict[str, object], start: Callable) -> object:
+        path = environ["PATH_INFO"]
+        reply = pool.request("GET", path, preload_content=False)
+        if path == "/stream":
+            start("200 OK", [("Content-Type", "text/event-stream")])
+            return reply.stream(65_536)
+        body = reply.read()
+        reply.release_conn()
+        start("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+    wsgi.server(sock, app, log_output=False)
+
+
+_LAYERS = {"h11": _serve_h11, "wsgi": _serve_wsgi}
+
+
+@_app.command(show=False)
+def endpoint(port: int) -> None:
+    """Answers with fixed bytes."""
+    sock = eventlet.listen((_HOST, port))
+    whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(_BODY)
+    whole += _BODY
+    chunk = b"%x\r\n%s\r\n" % (len(_EVENT), _EVENT)
+    while True:
+        conn, _ = sock.accept()
+        eventlet.spawn_n(_answer, conn, whole, chunk)
+
+
+def _answer(conn: socket.socket, whole: bytes, chunk: bytes) -> None:
+    conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    while data := conn.recv(65_536):
+        if b"/stream" not in data:
+            conn.sendall(whole)
+            continue
+        conn.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for _ in range(_EVENTS):
+            conn.sendall(chunk)
+            eventlet.sleep(_EVENT_PAUSE_S)
+        conn.sendall(b"0\r\n\r\n")
+
+
+@_app.command(show=False)
+def call(port: int, path: str, count: int) -> None:
+    """Asks so many times from several callers."""
+    pool = eventlet.GreenPool(_CALLERS if path != "/stream" else count)
+    shares = [count // pool.size] * pool.size
+    for share in shares:
+        pool.spawn_n(_call, port, path, share)
+    pool.waitall()
+
+
+def _call(port: int, path: str, count: int) -> None:
+    conn = green_socket.create_connection((_HOST, port))
+    request = b"GET %s HTTP/1.1\r\nHost: e\r\n\r\n" % path.encode()
+    for _ in range(count):
+        conn.sendall(request)
+        data = b""
+        while not _is_whole(data, path):
+            data += conn.recv(65_536)
+
+
+def _is_whole(data: bytes, path: str) -> bool:
+    if path == "/stream":
+        return data.endswith(b"0\r\n\r\n")
+    return data.endswith(_BODY)
+
+
+@_app.command(show=False)
+def layer(name: Literal["h11", "wsgi"]) -> None:
+    """Forwards with one layer in this process, and prints what it took."""
+    target = (_HOST, _free_port())
+    sock = eventlet.listen((_HOST, 0))
+    port = sock.getsockname()[1]
+    child = subprocess.Popen(
+        [sys.executable, __file__, "endpoint", str(target[1])]
+    )
+    try:
+        eventlet.spawn_n(_LAYERS[name], sock, target)
+        eventlet.sleep(1.5)
+        _measure(port, "/warm", 200)
+        plain_us = _measure(port, "/plain", _REQUESTS) / _REQUESTS
+        stream_us = _measure(port, "/stream", _STREAMS) / (_STREAMS * _EVENTS)
+        print(f"{name}: {plain_us:.0f} us a request, {stream_us:.0f} an event")
+    finally:
+        child.kill()
+        child.wait()
+
+
+def _measure(port: int, path: str, count: int) -> float:
+    """Returns microseconds of this process's processor time."""
+    before_s = time.process_time()
+    args = [sys.executable, __file__, "call", str(port), path, str(count)]
+    done = green_subprocess.Popen(args)
+    done.wait()
+    return (time.process_time() - before_s) * 1e6
+
+
+def _free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind((_HOST, 0))
+        return sock.getsockname()[1]
+
+
+@_app.default
+def run(runs: int = 3) -> None:
+    """Measures both layers in turn, each in a process of its own.
+
+    Args:
+        runs: How often.
+    """
+    for _ in range(runs):
+        for name in _LAYERS:
+            subprocess.run([sys.executable, __file__, "layer", name])
+
+
+if __name__ == "__main__":
+    _app()
