Add a soak: random faults against real entry processes

Cause: tests on the path play one fault each; series of faults that overlap were played by the users' bench only.

Change: `make soak SEED= MINUTES=` starts entries as processes, stand-ins of store, engines and workers, and proxies that delay, cut, reset and silence. It kills, stops and freezes entries, disturbs the store for one or all, takes workers away, crashes them, closes zones, takes keys away.

--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,11 @@
 SOURCES := $(subst $(eval ) ,:,$(addsuffix /src,$(addprefix $(CURDIR)/,$(MEMBERS))))
 SEED ?= 1
 EXAMPLES ?= 200
+MINUTES ?= 1
 export PYTHONPATH := $(SOURCES)
 export PYTHONHASHSEED := 0
 
-.PHONY: env test lint format fuzz demo thrift clean
+.PHONY: env test lint format fuzz soak demo thrift clean
 
 env: $(VENV)/.ready
 
@@ -36,6 +37,9 @@
 	DANDELION_FUZZ_SEED=$(SEED) DANDELION_FUZZ_EXAMPLES=$(EXAMPLES) \
 	  $(BIN)/python tools/run_tests.py --fuzz-only
 
+soak: env
+	$(BIN)/python tools/soak.py --seed $(SEED) --minutes $(MINUTES)
+
 demo: env
 	$(BIN)/python tools/demo.py
 
