--- a/libs/gateway/src/dandelionlead/gateway/attempt.py
+++ b/libs/gateway/src/dandelionlead/gateway/attempt.py
@@ -118,27 +118,21 @@
         self, endpoint: model.Endpoint, message: dialect.Message, limit_s: float
     ) -> tuple[int, bytes] | errors.Failure:
         """Sends a control request; returns status and body."""
-        until_s = clock.boottime() + limit_s
         conn = self._pool.take(endpoint, limit_s)
         if isinstance(conn, errors.Failure):
             return conn
         reusable = False
         try:
-            failure = conn.send(
+            result = conn.ask(
                 message.method,
                 message.target,
                 message.headers,
                 message.body,
-                limit_s,
+                channel.AskLimits(limit_s, _MAX_CONTROL_BYTES),
             )
-            if failure is not None:
-                return failure
-            head = conn.read_head(until_s)
-            if isinstance(head, errors.Failure):
-                return head
-            body = conn.read_all(until_s, _MAX_CONTROL_BYTES)
-            if isinstance(body, errors.Failure):
-                return body
+            if isinstance(result, errors.Failure):
+                return result
+            head, body = result
             answer = self._words.read_answer(head)
             reusable = head.framed and not answer.leaving
             return head.status, body
--- a/libs/http/src/dandelionlead/http/channel.py
+++ b/libs/http/src/dandelionlead/http/channel.py
@@ -61,6 +61,16 @@
 END = End()
 
 
+class AskLimits:
+    """Limits of one exchange: seconds in all, bytes of the response's body."""
+
+    __slots__ = ("seconds", "body_bytes")
+
+    def __init__(self, seconds: float, body_bytes: int) -> None:
+        self.seconds = seconds
+        self.body_bytes = body_bytes
+
+
 class Channel:
     """A connection that carries one request at a time.
 
@@ -166,6 +176,35 @@
                 return _broken("the response is too large")
             parts.append(data)
 
+    def ask(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        limits: AskLimits,
+    ) -> tuple[Head, bytes] | errors.Failure:
+        """Sends a request and reads the whole response.
+
+        Args:
+            method: HTTP method.
+            target: Path and query.
+            headers: All headers.
+            body: The whole body.
+            limits: On the time and the size of the response.
+        """
+        until_s = clock.boottime() + limits.seconds
+        failure = self.send(method, target, headers, body, limits.seconds)
+        if failure is not None:
+            return failure
+        head = self.read_head(until_s)
+        if isinstance(head, errors.Failure):
+            return head
+        data = self.read_all(until_s, limits.body_bytes)
+        if isinstance(data, errors.Failure):
+            return data
+        return head, data
+
     def skip_answer(self, method: bytes, until_s: float) -> bool:
         """Passes over a response that belongs to an earlier request.
 
--- a/libs/routing/src/dandelionlead/routing/loads.py
+++ b/libs/routing/src/dandelionlead/routing/loads.py
@@ -29,12 +29,16 @@
         self.prefill = prefill
         self.unsaved = unsaved
 
-    def add(self, other: Load) -> None:
-        """Adds another load to this one."""
-        self.runs += other.runs
-        self.tokens += other.tokens
-        self.prefill += other.prefill
-        self.unsaved += other.unsaved
+    def add(self, other: Load, times: int = 1) -> None:
+        """Adds another load to this one, or takes it off with -1."""
+        self.runs += times * other.runs
+        self.tokens += times * other.tokens
+        self.prefill += times * other.prefill
+        self.unsaved += times * other.unsaved
+
+    def is_zero(self) -> bool:
+        """Whether there is no work."""
+        return not (self.runs or self.tokens or self.prefill or self.unsaved)
 
 
 class Ticket:
@@ -64,6 +68,8 @@
         self.changed: Callable[[str], None] = _nothing
         self._own: dict[str, Load] = {}
         self._peers: dict[str, tuple[float, dict[str, Load]]] = {}
+        # Sums over all peers, so that a choice need not add them up.
+        self._heard: dict[str, Load] = {}
 
     def begin(
         self, endpoint_id: str, tokens: int, prefill: int, *, runs: int = 1
@@ -140,14 +146,22 @@
             loads: Its load by endpoint.
             until_s: Instant up to which the word counts.
         """
+        self._forget(peer)
         self._peers[peer] = (until_s, loads)
+        for endpoint_id, load in loads.items():
+            self._add_heard(endpoint_id, load)
 
     def hear_change(self, peer: str, loads: dict[str, Load]) -> None:
         """Takes a peer's word on some endpoints; the others stay."""
         known = self._peers.get(peer)
         if known is None:
             return
-        known[1].update(loads)
+        for endpoint_id, load in loads.items():
+            last = known[1].get(endpoint_id)
+            if last is not None:
+                self._add_heard(endpoint_id, last, -1)
+            self._add_heard(endpoint_id, load)
+            known[1][endpoint_id] = load
 
     def own(self) -> dict[str, Load]:
         """Returns the loads that this process causes, by endpoint."""
@@ -155,20 +169,42 @@
 
     def total(self, endpoint_id: str, now_s: float) -> Load:
         """Returns the load of one endpoint, that of live peers included."""
-        return self.totals(now_s).get(endpoint_id) or Load()
+        self._expire(now_s)
+        total = Load()
+        for book in (self._own, self._heard):
+            load = book.get(endpoint_id)
+            if load is not None:
+                total.add(load)
+        return total
 
     def totals(self, now_s: float) -> dict[str, Load]:
         """Returns the loads by endpoint, those of live peers included."""
-        totals: dict[str, Load] = {}
-        for endpoint_id, load in self._own.items():
-            totals.setdefault(endpoint_id, Load()).add(load)
-        for peer, (until_s, loads) in list(self._peers.items()):
-            if now_s > until_s:
-                del self._peers[peer]
-                continue
-            for endpoint_id, load in loads.items():
-                totals.setdefault(endpoint_id, Load()).add(load)
-        return totals
+        found = {*self._own, *self._heard}
+        totals = {name: self.total(name, now_s) for name in found}
+        return {
+            name: load for name, load in totals.items() if not load.is_zero()
+        }
+
+    def _expire(self, now_s: float) -> None:
+        late = [
+            peer
+            for peer, (until_s, _) in self._peers.items()
+            if now_s > until_s
+        ]
+        for peer in late:
+            self._forget(peer)
+
+    def _forget(self, peer: str) -> None:
+        """Takes a peer's word off the sums."""
+        _, loads = self._peers.pop(peer, (0.0, {}))
+        for endpoint_id, load in loads.items():
+            self._add_heard(endpoint_id, load, -1)
+
+    def _add_heard(self, endpoint_id: str, load: Load, times: int = 1) -> None:
+        total = self._heard.setdefault(endpoint_id, Load())
+        total.add(load, times)
+        if total.is_zero():
+            del self._heard[endpoint_id]
 
 
 def _nothing(_: str) -> None:
--- a/libs/routing/src/dandelionlead/routing/placement.py
+++ b/libs/routing/src/dandelionlead/routing/placement.py
@@ -208,7 +208,6 @@
         now_s: float,
     ) -> list[choice.Candidate]:
         """Returns those of the endpoints that may take the work."""
-        totals = self.loads.totals(now_s)
         found = []
         for endpoint in endpoints:
             endpoint_id = endpoint.endpoint_id
@@ -216,7 +215,7 @@
                 continue
             if not self._bears_more(endpoint, wanted.service, now_s):
                 continue
-            load = totals.get(endpoint_id) or loads.Load()
+            load = self.loads.total(endpoint_id, now_s)
             if not wanted.fits(load):
                 continue
             failures = self.health.failure_share(endpoint_id, now_s)
