Judge a version good no earlier than at seven tenths of its time

Cause: a version with 40 good answers was completed at once, whatever time was left; one that fails later then had all calls and its verdict stood. Its calls were also spent early, so that later failures were few among many answers.

Change: a good version is completed at 0.7 of its time; the extra calls open as time goes on; the failures of the last 3 s are also looked at alone.

Ruled out: taking a verdict back, since it is final in the store.

--- a/libs/routing/src/dandelionlead/routing/placement.py
+++ b/libs/routing/src/dandelionlead/routing/placement.py
@@ -130,7 +130,10 @@
         """
         wanted = _Wanted(service, tokens, excluded, fill)
         opened = self._view.rollouts.usable(
-            service.name, self._view.open_endpoints(service.name), self._rng
+            service.name,
+            self._view.open_endpoints(service.name),
+            self._rng,
+            now_s,
         )
         candidates = self._candidates(opened, wanted, now_s)
         if all(item.paused for item in candidates):
@@ -139,6 +142,7 @@
                 service.name,
                 self._view.closing_endpoints(service.name, now_s),
                 self._rng,
+                now_s,
             )
             candidates += self._candidates(closing, wanted, now_s)
         return choice.choose(
--- a/libs/routing/src/dandelionlead/routing/rollouts.py
+++ b/libs/routing/src/dandelionlead/routing/rollouts.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 import random
 from collections.abc import Iterable
@@ -18,13 +19,20 @@
 # and some more; these stay below, since counts of peers are a little old.
 EXPOSED_SHARE = 0.07
 EXPOSED_EXTRA = 30
+# Part of these that is open at once; the rest opens as time goes on, so that
+# a version which fails later is seen to.
+_OPEN_AT_ONCE = 0.3
 # Share of the calls that are offered to the new version within that.
 TRIAL_SHARE = 0.25
 # Answers after which a version without findings is good.
 ENOUGH_ANSWERS = 40
 FEWEST_ANSWERS = 6
-# Part of the time after which fewer answers must do.
+# Part of the time after which a version is judged good, or for want of
+# answers taken back. It has the rest to get all calls.
 LATEST_PART = 0.7
+# Failures of so many last seconds are also looked at alone.
+_RECENT_S = 3.0
+_HISTORY_STEP_S = 0.5
 # A version is bad from so many failures on, if its share of failures is over
 # the old one's by this factor and difference.
 _FAILURES = 3
@@ -75,6 +83,15 @@
         self.failures += other.failures
         self.total_s += other.total_s
 
+    def since(self, earlier: Count) -> Count:
+        """Returns what came after an earlier state of the same counts."""
+        return Count(
+            self.sent - earlier.sent,
+            self.answers - earlier.answers,
+            self.failures - earlier.failures,
+            self.total_s - earlier.total_s,
+        )
+
     def mean_s(self) -> float:
         """Returns the mean duration; 0 without answers."""
         return self.total_s / self.answers if self.answers else 0.0
@@ -102,6 +119,7 @@
         "state",
         "own",
         "_peers",
+        "_history",
     )
 
     def __init__(
@@ -113,6 +131,10 @@
         self.state = State.RUNNING
         self.own = {True: Count(), False: Count()}
         self._peers: dict[str, dict[bool, Count]] = {}
+        # Earlier totals of the new version, and when they were read.
+        self._history: collections.deque[tuple[float, Count]] = (
+            collections.deque()
+        )
 
     def hear(self, peer: str, counts: dict[bool, Count]) -> None:
         """Takes a peer's counts; they replace its last ones."""
@@ -125,23 +147,39 @@
             total.add(counts.get(new) or Count())
         return total
 
-    def may_expose(self) -> bool:
+    def may_expose(self, now_s: float) -> bool:
         """Whether the new version may get one more call."""
         new, old = self.total(new=True), self.total(new=False)
-        allowed = EXPOSED_SHARE * (new.sent + old.sent) + EXPOSED_EXTRA
+        part = min(1.0, _OPEN_AT_ONCE + (1 - _OPEN_AT_ONCE) * self._gone(now_s))
+        allowed = EXPOSED_SHARE * (new.sent + old.sent) + EXPOSED_EXTRA * part
         return new.sent < allowed
 
+    def _gone(self, now_s: float) -> float:
+        """Returns the part that has gone of the time until the judgement."""
+        until_s = LATEST_PART * self.order.duration_s
+        return (now_s - self.received_s) / max(0.001, until_s)
+
+    def _recent(self, now_s: float, new: Count) -> Count:
+        """Returns what the new version did in the last seconds."""
+        history = self._history
+        if not history or now_s - history[-1][0] >= _HISTORY_STEP_S:
+            history.append((now_s, new))
+        while len(history) > 1 and now_s - history[1][0] >= _RECENT_S:
+            history.popleft()
+        return new.since(history[0][1])
+
     def judge(self, now_s: float) -> State:
         """Returns the verdict that the evidence bears now."""
         if self.state is not State.RUNNING:
             return self.state
         new, old = self.total(new=True), self.total(new=False)
-        if _is_bad(new, old):
+        recent = self._recent(now_s, new)
+        if _is_bad(new, old) or _fails(recent, old):
             return State.ROLLED_BACK
+        if self._gone(now_s) < 1.0:
+            return State.RUNNING
         if new.answers >= ENOUGH_ANSWERS:
             return State.COMPLETED
-        if now_s - self.received_s < LATEST_PART * self.order.duration_s:
-            return State.RUNNING
         if new.answers >= FEWEST_ANSWERS and not new.failures:
             return State.COMPLETED
         return State.ROLLED_BACK
@@ -205,6 +243,7 @@
         service: str,
         endpoints: Iterable[model.Endpoint],
         rng: random.Random,
+        now_s: float,
     ) -> list[model.Endpoint]:
         """Returns the endpoints that the next call may go to."""
         found = list(endpoints)
@@ -218,7 +257,7 @@
             return new or old
         if rollout.state is State.ROLLED_BACK or not new:
             return old
-        if not rollout.may_expose():
+        if not rollout.may_expose(now_s):
             return old
         return new if not old or rng.random() < TRIAL_SHARE else old
 
@@ -229,9 +268,13 @@
         return found.own[endpoint.version == found.order.target_version]
 
 
-def _is_bad(new: Count, old: Count) -> bool:
+def _fails(new: Count, old: Count) -> bool:
     limit = _FAILURE_FACTOR * old.failure_share() + _FAILURE_MORE
-    if new.failures >= _FAILURES and new.failure_share() > limit:
+    return new.failures >= _FAILURES and new.failure_share() > limit
+
+
+def _is_bad(new: Count, old: Count) -> bool:
+    if _fails(new, old):
         return True
     if new.answers < _SLOW_ANSWERS or not old.answers:
         return False
--- a/libs/routing/tests/test_limits_fuzz.py
+++ b/libs/routing/tests/test_limits_fuzz.py
@@ -112,7 +112,9 @@
         new = 0
         for place, (which, teller) in enumerate(calls):
             book = books[which % count]
-            target = rng.choice(book.usable("s", self.ENDPOINTS, rng))
+            target = rng.choice(
+                book.usable("s", self.ENDPOINTS, rng, place / 20)
+            )
             book.sent(target)
             new += target.version == "v2"
             # Word spreads late, and from one process at a time.
--- a/libs/routing/tests/test_rollouts.py
+++ b/libs/routing/tests/test_rollouts.py
@@ -44,7 +44,9 @@
         for step in range(int(_DURATION_S * _RATE_PER_S)):
             now_s = step / _RATE_PER_S
             book = self.books[step % _PROCESSES]
-            target = self.rng.choice(book.usable("s", _ENDPOINTS, self.rng))
+            target = self.rng.choice(
+                book.usable("s", _ENDPOINTS, self.rng, now_s)
+            )
             is_new = target.version == "v2"
             self.all += 1
             self.new += is_new
@@ -74,6 +76,12 @@
         ("good", lambda _: 0.01, 1.0, rollouts.State.COMPLETED),
         ("fails at once", lambda _: 0.5, 1.0, rollouts.State.ROLLED_BACK),
         ("always fails", lambda _: 1.0, 1.0, rollouts.State.ROLLED_BACK),
+        (
+            "fails later",
+            lambda now_s: 0.5 if now_s > 5.0 else 0.01,
+            1.0,
+            rollouts.State.ROLLED_BACK,
+        ),
         ("slow", lambda _: 0.01, 6.0, rollouts.State.ROLLED_BACK),
     )
 
@@ -110,7 +118,7 @@
         return {
             item.version
             for _ in range(50)
-            for item in self.book.usable("s", _ENDPOINTS, self.rng)
+            for item in self.book.usable("s", _ENDPOINTS, self.rng, 10.0)
         }
 
     def test_verdicts(self) -> None:
@@ -140,7 +148,7 @@
 
     def test_services_without_an_order_are_left_alone(self) -> None:
         self.book.drop("s")
-        found = self.book.usable("s", _ENDPOINTS, self.rng)
+        found = self.book.usable("s", _ENDPOINTS, self.rng, 10.0)
         self.assertEqual(len(found), 8)
 
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import json
-import os
 import pathlib
 import signal
 import subprocess
@@ -118,17 +117,9 @@
 
     def _start_entry(self) -> None:
         host = bed.next_ip()
-        path = self._folder / f"{host}.json"
-        fields = bed.settings_fields(host, self._place.store.address)
-        path.write_text(json.dumps(fields))
-        env = dict(os.environ, DANDELIONLEAD_CONFIG=str(path))
-        with (self._folder / f"{host}.log").open("wb") as log:
-            self._entries[host] = subprocess.Popen(
-                [sys.executable, str(_ROOT / "platform" / "serve.py")],
-                env=env,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+        self._entries[host] = bed.start_program(
+            host, self._place.store.address, self._folder
+        )
 
     def _all_named(self) -> bool:
         wanted = {f"{host}:8740" for host in self._entries}
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,8 +9,6 @@
 from __future__ import annotations
 
 import contextlib
-import json
-import os
 import pathlib
 import random
 import signal
@@ -323,17 +321,8 @@
         if not host:
             host = bed.next_ip()
             self._gates[host] = Proxy(self._store.address)
-        path = self._folder / f"{host}.json"
         gate = self._gates[host].address
-        path.write_text(json.dumps(bed.settings_fields(host, gate)))
-        env = dict(os.environ, DANDELIONLEAD_CONFIG=str(path))
-        with (self._folder / f"{host}.log").open("ab") as log:
-            self._entries[host] = subprocess.Popen(
-                [sys.executable, str(_ROOT / "platform" / "serve.py")],
-                env=env,
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+        self._entries[host] = bed.start_program(host, gate, self._folder)
 
     def _all_ready(self) -> bool:
         return all(self._is_ready(host) for host in self._entries)
