A silenced connection of the soak stays silent

The proxy took bytes of a connection, passed none on, and later passed on what came next; its log has events=21 of 40 and complete=True. No TCP connection loses bytes in its middle. Ruled out: the relay (it passed on all that came; ids of events rise, but need not follow each other, so a gap is no proof).

Change: a connection that lost bytes once stays silent for good.

No code of the product changed.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -104,13 +104,16 @@
         source: green_socket.GreenSocket,
         target: green_socket.GreenSocket,
     ) -> None:
+        silent = False
         try:
             while data := source.recv(65_536):
                 if self.mode == "reset":
                     break
                 if self.mode == "delay":
                     eventlet.sleep(0.2)
-                if self.mode != "silent":
+                # A connection that lost bytes once stays silent for good.
+                silent = silent or self.mode == "silent"
+                if not silent:
                     target.sendall(data)
         except OSError:
             pass  # Either end may be gone; both are shut below.
