--- a/libs/cluster/src/dandelionlead/cluster/peers.py
+++ b/libs/cluster/src/dandelionlead/cluster/peers.py
@@ -97,7 +97,6 @@
         self._closed = False
         self._sent_s = 0.0
         self._beat_s = 0.0
-        self.unreadable = 0
 
     def loops(self) -> tuple[Callable[[], None], ...]:
         """Returns what runs for as long as the process."""
@@ -185,7 +184,6 @@
                 eventlet.sleep(LEAST_PAUSE_S)
                 continue
             except _DECODE_FAULTS as exc:
-                self.unreadable += 1
                 self._log.event("heartbeat_unreadable", reason=repr(exc))
 
     def _take(self, data: bytes) -> None:
--- a/libs/core/src/dandelionlead/core/hashing.py
+++ b/libs/core/src/dandelionlead/core/hashing.py
@@ -15,10 +15,3 @@
 def rank(key: str, candidates: Iterable[str]) -> list[str]:
     """Returns the candidates for a key, the best first."""
     return sorted(candidates, key=lambda name: (-weight(key, name), name))
-
-
-def pick(key: str, candidates: Iterable[str]) -> str | None:
-    """Returns the best candidate for a key, or None if there is none."""
-    return max(
-        candidates, key=lambda name: (weight(key, name), name), default=None
-    )
--- a/libs/gateway/src/dandelionlead/gateway/meters.py
+++ b/libs/gateway/src/dandelionlead/gateway/meters.py
@@ -5,7 +5,6 @@
 from dandelionlead.core import clock
 from dandelionlead.core import metrics
 from dandelionlead.gateway import heartbeats
-from dandelionlead.routing import model
 
 HELP = {
     "calls_total": "Calls that ended, by outcome: answered or an error kind.",
@@ -57,11 +56,8 @@
 
     def open_endpoints(self) -> float:
         known = self._has.known
-        found = known.endpoints.values()
-        return sum(self._is_open(endpoint) for endpoint in found)
-
-    def _is_open(self, endpoint: model.Endpoint) -> bool:
-        return endpoint in self._has.known.open_endpoints(endpoint.service)
+        services = {item.service for item in known.endpoints.values()}
+        return sum(len(known.open_endpoints(name)) for name in services)
 
     def configuration(self) -> float:
         found = self._has.known.configuration
--- a/libs/gateway/src/dandelionlead/gateway/supervisor.py
+++ b/libs/gateway/src/dandelionlead/gateway/supervisor.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import eventlet
 
 from dandelionlead.core import clock
@@ -65,19 +67,11 @@
         )
         for run in found:
             self._move(run)
-        for others in list(self._runs.values()):
-            for run in others:
-                backup = run.backup_at
-                if backup is not None and backup.endpoint_id == endpoint_id:
-                    self._lose_backup(run)
+        self._lose_backups(lambda backup: backup.endpoint_id == endpoint_id)
 
     def zone_closed(self, zone: str) -> None:
         """Forgets backups in a zone that may get no more requests."""
-        for found in list(self._runs.values()):
-            for run in found:
-                backup = run.backup_at
-                if backup is not None and backup.availability_zone == zone:
-                    self._lose_backup(run)
+        self._lose_backups(lambda backup: backup.availability_zone == zone)
 
     def may_go_on_at(self, endpoint: model.Endpoint) -> bool:
         """Whether a run may be sent to an engine that has its memory."""
@@ -134,6 +128,13 @@
         if run.backup_at is None and not run.admitted.route.repeatable:
             self._places.loads.expose(run.ticket)
 
+    def _lose_backups(self, lost: Callable[[model.Endpoint], bool]) -> None:
+        """Forgets the backups at engines for which `lost` holds."""
+        for found in list(self._runs.values()):
+            for run in found:
+                if run.backup_at is not None and lost(run.backup_at):
+                    self._lose_backup(run)
+
     def _lose_backup(self, run: runs.Run) -> None:
         self.drop_backup(run)
         self._expose(run)
--- a/libs/http/src/dandelionlead/http/channel.py
+++ b/libs/http/src/dandelionlead/http/channel.py
@@ -79,7 +79,6 @@
         opened_s: When it was opened.
         idle_since_s: When its last response was complete.
         idle_limit_s: How long the peer keeps it open while idle.
-        sent: Whether a byte of the present request may have left.
         rested_s: How long it had been idle before the present request; 0 if
             it was new.
     """
@@ -89,7 +88,6 @@
         "opened_s",
         "idle_since_s",
         "idle_limit_s",
-        "sent",
         "rested_s",
         "_sock",
         "_http",
@@ -103,7 +101,6 @@
         self.opened_s = clock.boottime()
         self.idle_since_s = self.opened_s
         self.idle_limit_s = 5.0
-        self.sent = False
         self.rested_s = 0.0
         self._sock = sock
         self._http = h11.Connection(
@@ -125,7 +122,6 @@
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
-        self.sent = True
         try:
             self._sock.settimeout(max(0.01, timeout_s))
             self._sock.sendall(data)
@@ -237,7 +233,6 @@
             return False
         self._http.start_next_cycle()
         self.idle_since_s = clock.boottime()
-        self.sent = False
         return True
 
     def quiet(self) -> bool:
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import json
 import pathlib
 import signal
 import subprocess
@@ -149,16 +148,9 @@
 def _named(host: str) -> set[str]:
     """Returns the addresses that an entry names; none if it is not up."""
     try:
-        answer = bed.Asking(
-            (host, 8740),
-            "/resolve?name=x",
-            method=b"GET",
-            body=b"",
-            port=8746,
-        ).result()
+        return set(bed.named(host))
     except ConnectionError:
         return set()  # Not listening yet.
-    return set(json.loads(answer.body or b"{}").get("addrs", ()))
 
 
 def _expect(holds: bool, seen: str) -> None:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -200,7 +200,6 @@
         self._store.put("op", "config", bed.configuration())
         self._version = 7
         self._workers: list[SoakWorker] = []
-        self._gone: list[SoakWorker] = []
         self._entries: dict[str, subprocess.Popen] = {}
         self._gates: dict[str, Proxy] = {}
         self._disturbed_s = 0.0
@@ -328,18 +327,7 @@
         self._entries[host] = bed.start_program(host, gate, self._folder)
 
     def _all_ready(self) -> bool:
-        return all(self._is_ready(host) for host in self._entries)
-
-    def _is_ready(self, host: str) -> bool:
-        with eventlet.Timeout(1.0, False):
-            try:
-                asking = bed.Asking(
-                    (host, 8740), "/ready", method=b"GET", body=b"", port=8749
-                )
-            except ConnectionError:
-                return False
-            return asking.result().status == 200
-        return False
+        return all(bed.is_ready(host) for host in self._entries)
 
     def _serves_all(self) -> bool:
         return self._all_ready() and all(
@@ -472,7 +460,6 @@
         if services.count(worker.service) < 2:
             return
         self._workers.remove(worker)
-        self._gone.append(worker)
         worker.left_s = clock.boottime()
         self._store.put("servers", worker.worker_id, worker.entry("draining"))
         eventlet.spawn_after(_NOTICE_S, self._take_away, worker)
@@ -485,7 +472,6 @@
     def _crash_worker(self) -> None:
         worker = self._any_worker()
         self._workers.remove(worker)
-        self._gone.append(worker)
         worker.proxy.mode = "reset"
         self._add_worker(worker.service, worker.zone)
         drop = self._store.drop
