Say why a generation was lost; take out the event ring and dead fields

The ring of recent events, Route.token_gap_s and Copy.created were kept and read by nobody. The ring and the two fields are gone; the ring's tests read what the log writes instead, and the count of lines written plus dropped is checked against all 50.

--- a/libs/core/src/dandelionlead/core/events.py
+++ b/libs/core/src/dandelionlead/core/events.py
@@ -1,8 +1,7 @@
-"""One key=value log line for each event, kept in a ring for traces."""
+"""One key=value log line for each event."""
 
 from __future__ import annotations
 
-import collections
 import os
 import sys
 
@@ -10,10 +9,6 @@
 
 from dandelionlead.core import clock
 
-# At one line of 200 bytes for 37.5 requests a second and three events a
-# request, the ring covers about 70 seconds and 1.6 MB.
-RING_EVENTS = 8192
-
 # Lines that a process writes a second over time, and at one moment. At four
 # lines for a generation and one for a short call, the first is what 500 short
 # calls and 100 generations a second write.
@@ -23,32 +18,12 @@
 _PIPE_LINE_BYTES = 4_096
 
 
-class Event:
-    """One event of this process.
-
-    Attributes:
-        at_unix_s: Seconds since the epoch.
-        request_id: Request that the event belongs to; empty if none.
-        line: The log line without its time.
-    """
-
-    __slots__ = ("at_unix_s", "request_id", "line")
-
-    def __init__(self, at_unix_s: float, request_id: str, line: str) -> None:
-        self.at_unix_s = at_unix_s
-        self.request_id = request_id
-        self.line = line
-
-
 class Log:
-    """Writes events of one process and remembers the latest of them."""
+    """Writes the events of one process."""
 
-    def __init__(self, process: str, *, ring_events: int = RING_EVENTS) -> None:
+    def __init__(self, process: str) -> None:
         self._process = process
         self._logger = logbook.Logger(process)
-        self._ring: collections.deque[Event] = collections.deque(
-            maxlen=ring_events
-        )
 
     def event(self, name: str, *, req: str = "", **fields: object) -> None:
         """Writes one line.
@@ -64,17 +39,8 @@
             pairs["req"] = req
         pairs.update(fields)
         line = " ".join(f"{key}={_quote(val)}" for key, val in pairs.items())
-        self._ring.append(Event(now, req, line))
         self._logger.info("{}", f"ts={now:.6f} {line}")
 
-    def trace(self, request_id: str) -> list[Event]:
-        """Returns the remembered events of one request, oldest first."""
-        return [item for item in self._ring if item.request_id == request_id]
-
-    def latest(self, count: int) -> list[Event]:
-        """Returns the last `count` events, oldest first."""
-        return list(self._ring)[-count:]
-
 
 class PipeHandler(logbook.Handler):
     """Writes lines to a descriptor that may be full; never waits for it.
--- a/libs/core/tests/test_events.py
+++ b/libs/core/tests/test_events.py
@@ -1,7 +1,9 @@
-"""Guards against log lines that cannot be parsed and lost trace events."""
+"""Guards against log lines that cannot be parsed or joined."""
 
 import unittest
 
+import logbook
+
 from dandelionlead.core import events
 
 
@@ -18,20 +20,19 @@
         for value, expected in cases:
             with self.subTest(value=value):
                 log = events.Log("test")
-                log.event("sample", x=value)
-                self.assertEqual(
-                    log.latest(1)[0].line,
-                    f"event=sample process=test {expected}",
-                )
-
-    def test_trace_returns_only_events_of_the_request(self):
-        log = events.Log("test", ring_events=3)
-        log.event("first", req="a")
-        log.event("second", req="b")
-        log.event("third", req="a")
-        log.event("fourth", req="b")
-        lines = [event.line for event in log.trace("a")]
-        self.assertEqual(lines, ["event=third process=test req=a"])
+                with logbook.TestHandler().applicationbound() as seen:
+                    log.event("sample", x=value)
+                _, _, line = seen.records[0].message.partition(" ")
+                self.assertEqual(line, f"event=sample process=test {expected}")
+
+    def test_line_begins_with_the_time_and_names_the_request(self):
+        log = events.Log("test")
+        with logbook.TestHandler().applicationbound() as seen:
+            log.event("first", req="a", count=3)
+        self.assertRegex(
+            seen.records[0].message,
+            r"^ts=\d+\.\d{6} event=first process=test req=a count=3$",
+        )
 
 
 if __name__ == "__main__":
--- a/libs/core/tests/test_log_pipe.py
+++ b/libs/core/tests/test_log_pipe.py
@@ -19,7 +19,7 @@
         self.handler = events.PipeHandler(
             self.writer, lines_per_s=1e9, burst_lines=1e9
         )
-        self.log = events.Log("test", ring_events=8)
+        self.log = events.Log("test")
 
     def tearDown(self) -> None:
         os.close(self.reader)
@@ -66,7 +66,7 @@
         handler = events.PipeHandler(
             self.writer, lines_per_s=20.0, burst_lines=5.0
         )
-        log = events.Log("test", ring_events=100)
+        log = events.Log("test")
         with handler.applicationbound():
             for number in range(50):
                 log.event("line", number=number)
@@ -78,7 +78,8 @@
         self.assertLessEqual(text.count("event=line"), 10)
         self.assertIn(f"event=log_dropped lines={dropped}\n", text)
         self.assertIn("event=after", text)
-        self.assertEqual(len(log.latest(100)), 51)
+        written = text.count("event=line")
+        self.assertEqual(written + handler.dropped_total, 50)
 
 
 if __name__ == "__main__":
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -105,7 +105,10 @@
                     self.outcome.complete = True
                     return self.outcome
                 done.conn.close()
+                kept = self._kept()
                 current = self._continue(failure)
+                if current is None:
+                    self._say_lost(failure, kept)
             return self.outcome
         finally:
             if current is not None:
@@ -123,6 +126,28 @@
         self.outcome.moves = run.moves
         self.outcome.last_endpoint = run.endpoint.endpoint_id
 
+    def _kept(self) -> str:
+        """Returns where the run's memory is besides its engine."""
+        run = self._run
+        if run.copy is not None:
+            return f"copy at {run.copy_at.endpoint_id}"
+        if run.backup_at is not None:
+            return f"backup at {run.backup_at.endpoint_id}"
+        return "nowhere"
+
+    def _say_lost(self, failure: errors.Failure, kept: str) -> None:
+        run = self._run
+        self._log.event(
+            "run_lost",
+            req=run.request_id,
+            endpoint=run.endpoint.endpoint_id,
+            memory=kept,
+            moving=run.moving,
+            moves=run.moves,
+            kind=failure.kind.value,
+            reason=failure.reason,
+        )
+
     def _pass_on(
         self, current: attempt.Started, head: calls.AnswerHead
     ) -> errors.Failure | None:
--- a/libs/gateway/tests/test_moves.py
+++ b/libs/gateway/tests/test_moves.py
@@ -44,7 +44,7 @@
         return source.endpoint_id, destination.endpoint_id, stop
 
     def read_copy(self, body):
-        return calls.Copy("handle", 5) if body else None
+        return calls.Copy("handle") if body else None
 
     def free_copy(self, source, handle):
         return source.endpoint_id, "free", handle
--- a/libs/routing/src/dandelionlead/routing/calls.py
+++ b/libs/routing/src/dandelionlead/routing/calls.py
@@ -204,14 +204,12 @@
 
     Attributes:
         handle: Names the copy at the source's address.
-        created: Events generated when the copy was complete.
     """
 
-    __slots__ = ("handle", "created")
+    __slots__ = ("handle",)
 
-    def __init__(self, handle: str, created: int) -> None:
+    def __init__(self, handle: str) -> None:
         self.handle = handle
-        self.created = created
 
 
 class Report:
--- a/libs/routing/src/dandelionlead/routing/model.py
+++ b/libs/routing/src/dandelionlead/routing/model.py
@@ -38,8 +38,6 @@
         kind: What may be repeated.
         timeout_s: Longest time that a caller is kept waiting.
         objective_s: A response within this time is on time.
-        token_gap_s: Longest pause between events of a response on time; 0 if
-            the route does not stream.
         priority: 0 is the most urgent.
         max_attempts: Most endpoints that one call may run on.
         anonymous: Whether calls need no key.
@@ -54,7 +52,6 @@
         "kind",
         "timeout_s",
         "objective_s",
-        "token_gap_s",
         "priority",
         "max_attempts",
         "anonymous",
@@ -72,7 +69,6 @@
         *,
         timeout_s: float = 30.0,
         objective_s: float = 1.0,
-        token_gap_s: float = 0.0,
         priority: int = 0,
         max_attempts: int = 1,
         anonymous: bool = False,
@@ -85,7 +81,6 @@
         self.targets = targets
         self.timeout_s = timeout_s
         self.objective_s = objective_s
-        self.token_gap_s = token_gap_s
         self.priority = priority
         self.max_attempts = max_attempts
         self.anonymous = anonymous
