Use connections to endpoints again after whole answers; split exchange and callers

Ruled out: the pool's own limits on rest, age and share; a direct test of the pool passes, and the path opened 6 connections for 6 calls in a row. Change: a started exchange knows whether its connection was given back and closes it only if not. The offer is short steps under one ExitStack; how long an endpoint is waited for (routing/patience.py) and the wait for room (gateway/rooms.py) are modules of their own, as is the listener. Each copy of a run leaves a line, also one that comes too late.

--- a/libs/cluster/src/dandelionlead/cluster/peers.py
+++ b/libs/cluster/src/dandelionlead/cluster/peers.py
@@ -21,7 +21,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
-from dandelionlead.http import callers
+from dandelionlead.http import listener
 
 # A change is told at once, but not more often than this, ...
 LEAST_PAUSE_S = 0.01
@@ -90,7 +90,7 @@
         self._log = log
         self._udp = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._udp.bind(address)
-        self._tcp = callers.listen(address)
+        self._tcp = listener.listen(address)
         self._soon: eventlet.greenthread.GreenThread | None = None
         self._whole = False
         self._changed_loads: set[str] = set()
--- a/libs/gateway/src/dandelionlead/gateway/attempt.py
+++ b/libs/gateway/src/dandelionlead/gateway/attempt.py
@@ -21,11 +21,12 @@
 
     Attributes:
         endpoint: Where it comes from.
-        conn: The connection; its owner gives it back or closes it.
+        conn: The connection.
         answer: What the head says.
+        given_back: Whether the connection may serve another request by now.
     """
 
-    __slots__ = ("endpoint", "conn", "answer")
+    __slots__ = ("endpoint", "conn", "answer", "given_back")
 
     def __init__(
         self,
@@ -36,6 +37,12 @@
         self.endpoint = endpoint
         self.conn = conn
         self.answer = answer
+        self.given_back = False
+
+    def close(self) -> None:
+        """Closes the connection, unless it was given back."""
+        if not self.given_back:
+            self.conn.close()
 
 
 class Sender:
@@ -108,10 +115,11 @@
     def finish(self, started: Started) -> None:
         """Gives the connection of a complete response back."""
         if started.answer.leaving:
-            started.conn.close()
+            started.close()
             return
         if started.answer.idle_limit_s:
             started.conn.idle_limit_s = started.answer.idle_limit_s
+        started.given_back = True
         self._pool.give_back(started.endpoint, started.conn)
 
     def control(
--- a/libs/gateway/src/dandelionlead/gateway/evacuation.py
+++ b/libs/gateway/src/dandelionlead/gateway/evacuation.py
@@ -196,6 +196,8 @@
         )
         result = self._sender.control(self.source, message, COPY_LIMIT_S)
         if not self._still(run):
+            took_ms = int((clock.boottime() - started_s) * 1e3)
+            self._say(run, "copy_too_late", target, took_ms=took_ms)
             return None
         if isinstance(result, errors.Failure):
             self._say(run, "copy_failed", target, reason=result.reason)
@@ -205,7 +207,16 @@
         copy = self._words.read_copy(body)
         if status == 200 and copy is not None:
             run.copy = copy
-            return clock.boottime() - started_s
+            took_s = clock.boottime() - started_s
+            self._say(
+                run,
+                "run_copied",
+                target,
+                took_ms=int(took_s * 1e3),
+                tokens=run.tokens,
+                far=target.availability_zone != self.source.availability_zone,
+            )
+            return took_s
         self._say(run, "copy_refused", target, status=status)
         if status == 503:
             refused.add(target.endpoint_id)
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import eventlet
+import contextlib
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
@@ -11,30 +11,19 @@
 from dandelionlead.gateway import attempt
 from dandelionlead.gateway import crash_check
 from dandelionlead.gateway import relay
+from dandelionlead.gateway import rooms
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import supervisor
 from dandelionlead.http import callers
 from dandelionlead.routing import calls
 from dandelionlead.routing import crashes
 from dandelionlead.routing import model
+from dandelionlead.routing import patience
 from dandelionlead.routing import placement
 from dandelionlead.routing import view
-from dandelionlead.routing import waiting
 
 # Endpoints that one call is offered to before it is refused.
 _MAX_OFFERS = 5
-# An idempotent call that is not answered after so many times its objective is
-# sent to another endpoint.
-_PATIENCE_OBJECTIVES = 2.5
-_LEAST_PATIENCE_S = 0.15
-# A stream that may be resumed is sent to another engine while it can still be
-# on time there: after this part of its objective, if the first event should
-# have come by then; or when it is late by this factor.
-_STREAM_PATIENCE_PART = 0.55
-_STREAM_LATE_FACTOR = 1.7
-# The first event is expected after so many times the mean.
-_FIRST_EVENT_MARGIN = 1.6
-_ROOM_POLL_S = 0.02
 # Callers come back after a refusal once work has ended somewhere.
 _RETRY_AFTER_PLAIN_S = 0.1
 _RETRY_AFTER_STREAM_S = 1.5
@@ -51,6 +40,7 @@
         log: Gets a line for each decision.
         accounts: Writes the line of a finished call, and refusals.
         crash_check: Looks after endpoints whose connection broke off.
+        rooms: Finds endpoints.
     """
 
     __slots__ = (
@@ -61,7 +51,7 @@
         "log",
         "accounts",
         "crash_check",
-        "_queues",
+        "rooms",
     )
 
     def __init__(
@@ -80,11 +70,7 @@
         self.log = log
         self.accounts = accounts
         self.crash_check = crash_check.CrashCheck(places, known, log)
-        self._queues: dict[str, waiting.Queue] = {}
-
-    def queue(self, service: str) -> waiting.Queue:
-        """Returns the calls that wait for room on a service."""
-        return self._queues.setdefault(service, waiting.Queue())
+        self.rooms = rooms.Rooms(places)
 
 
 class Exchange:
@@ -174,11 +160,10 @@
         """Sends the call to one endpoint; returns whether it is settled."""
         parts = self._parts
         admitted = self._admitted
-        now_s = clock.boottime()
-        if now_s >= admitted.until_s:
+        if clock.boottime() >= admitted.until_s:
             return False
         tokens = self._call.expected_tokens()
-        endpoint = self._find_endpoint(tokens)
+        endpoint = parts.rooms.find(admitted, tokens, self._tried)
         now_s = clock.boottime()
         if endpoint is None:
             if self._failure is None:
@@ -188,6 +173,26 @@
             admitted.service.name, now_s
         ):
             return False
+        run = self._begin(endpoint, tokens, now_s)
+        with contextlib.ExitStack() as cleanup:
+            cleanup.callback(self._drop, run)
+            started = self._start(run)
+            if isinstance(started, errors.Failure):
+                self._note_failure(endpoint, started)
+                return False
+            cleanup.callback(started.close)
+            if self._refused(started):
+                return False
+            if self._is_stream(started):
+                cleanup.pop_all()  # The relay takes over.
+                return self._relay(run, started)
+            return self._pass_whole(started)
+
+    def _begin(
+        self, endpoint: model.Endpoint, tokens: int, now_s: float
+    ) -> runs.Run:
+        """Counts a send that is about to happen."""
+        parts = self._parts
         self._offered_s = now_s
         self._tried.add(endpoint.endpoint_id)
         self._last = endpoint.endpoint_id
@@ -203,100 +208,29 @@
         ticket = parts.places.loads.begin(
             endpoint.endpoint_id, tokens, self._call.prompt_tokens
         )
-        run = runs.Run(admitted, endpoint, ticket, tokens)
+        run = runs.Run(self._admitted, endpoint, ticket, tokens)
         run.sent_s = now_s
         run.queued_tokens = parts.places.backlog(endpoint, now_s)
-        relayed = False
-        started = None
         parts.run_supervisor.back_up(run)
-        try:
-            started = parts.sender.start(
-                admitted,
-                endpoint,
-                self._patience(endpoint, now_s),
-                backup=run.backup_at,
-            )
-            if isinstance(started, errors.Failure):
-                self._note_failure(endpoint, started)
-                started = None
-                return False
-            if self._refused(started):
-                return False
-            streams = admitted.route.kind is model.CallKind.STREAMING
-            if streams and started.answer.status == 200:
-                relayed = True
-                return self._relay(run, started)
-            return self._pass_whole(started)
-        finally:
-            if not relayed:
-                parts.places.loads.end(ticket)
-                parts.run_supervisor.drop_backup(run)
-                if started is not None:
-                    started.conn.close()
+        return run
 
-    def _find_endpoint(self, tokens: int) -> model.Endpoint | None:
-        """Returns an endpoint; waits for one with room for a generation."""
-        parts = self._parts
-        admitted = self._admitted
-        places = parts.places
-        engine = admitted.service.engine
-        if engine is None or not places.any_open(admitted.service.name):
-            return places.choose(
-                admitted.service,
-                tokens,
-                clock.boottime(),
-                excluded=self._tried,
-            )
-        expected_s = places.pace.expected_s(self._call.prompt_tokens)
-        place = waiting.Place(
-            admitted, expected_s, clock.boottime(), places.policy.wait_part
+    def _start(self, run: runs.Run) -> attempt.Started | errors.Failure:
+        expected_s = self._parts.places.pace.expected_s(run.queued_tokens)
+        return self._parts.sender.start(
+            self._admitted,
+            run.endpoint,
+            patience.until_s(self._admitted, self._ran, expected_s, run.sent_s),
+            backup=run.backup_at,
         )
-        queue = parts.queue(admitted.service.name)
-        policy = places.policy
-        repeatable = admitted.route.repeatable
-        fill = policy.short_run_fill if repeatable else policy.run_fill
-        queue.enter(place)
-        try:
-            while (now_s := clock.boottime()) < place.give_up_s:
-                if queue.is_next(place, now_s):
-                    found = places.choose(
-                        admitted.service,
-                        tokens,
-                        now_s,
-                        excluded=self._tried,
-                        fill=fill,
-                    )
-                    if found is not None:
-                        return found
-                eventlet.sleep(_ROOM_POLL_S)
-            return None
-        finally:
-            queue.leave(place)
 
-    def _patience(self, endpoint: model.Endpoint, now_s: float) -> float:
-        """Returns the instant up to which one endpoint is waited for."""
-        admitted = self._admitted
-        route = admitted.route
-        if not route.repeatable or self._ran + 1 >= route.max_attempts:
-            return admitted.until_s
-        if route.kind is model.CallKind.STREAMING:
-            wait_s = self._stream_patience_s(endpoint, now_s)
-        else:
-            wait_s = max(
-                _LEAST_PATIENCE_S, _PATIENCE_OBJECTIVES * route.objective_s
-            )
-        return min(admitted.until_s, now_s + wait_s)
+    def _drop(self, run: runs.Run) -> None:
+        """Takes a run off the books that no relay took over."""
+        self._parts.places.loads.end(run.ticket)
+        self._parts.run_supervisor.drop_backup(run)
 
-    def _stream_patience_s(
-        self, endpoint: model.Endpoint, now_s: float
-    ) -> float:
-        places = self._parts.places
-        expected_s = places.pace.expected_s(places.backlog(endpoint, now_s))
-        objective_s = self._admitted.route.objective_s
-        soon_s = _STREAM_PATIENCE_PART * objective_s
-        if _FIRST_EVENT_MARGIN * expected_s < soon_s:
-            return soon_s
-        return _STREAM_LATE_FACTOR * objective_s
+    def _is_stream(self, started: attempt.Started) -> bool:
+        streams = self._admitted.route.kind is model.CallKind.STREAMING
+        return streams and started.answer.status == 200
 
     def _note_failure(
         self, endpoint: model.Endpoint, failure: errors.Failure
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -104,7 +104,7 @@
                     self._sender.finish(done)
                     self.outcome.complete = True
                     return self.outcome
-                done.conn.close()
+                done.close()
                 kept = self._kept()
                 current = self._continue(failure)
                 if current is None:
@@ -112,7 +112,7 @@
             return self.outcome
         finally:
             if current is not None:
-                current.conn.close()
+                current.close()
             self._close()
 
     def _close(self) -> None:
@@ -352,7 +352,7 @@
             failure = started.reason
         elif started.answer.status != 200:
             failure = f"status {started.answer.status}"
-            started.conn.close()
+            started.close()
         self._log.event(
             "run_resumed" if failure is None else "resume_failed",
             req=run.request_id,
--- a/libs/http/src/dandelionlead/http/callers.py
+++ b/libs/http/src/dandelionlead/http/callers.py
@@ -7,7 +7,6 @@
 import json
 import socket
 
-import eventlet
 import eventlet.green.socket as green_socket
 import eventlet.hubs
 import greenlet
@@ -22,7 +21,6 @@
 # After a refusal, what the caller still sends is read for so long, since a
 # close over unread bytes would reset the connection and lose the answer.
 _DRAIN_S = 1.0
-_BACKLOG = 512
 
 
 class CallerGoneError(Exception):
@@ -331,66 +329,6 @@
             self._greenlet.throw(CallerGoneError("the caller closed"))
 
 
-class Listener:
-    """Accepts connections of callers."""
-
-    def __init__(self, address: tuple[str, int], handler: Handler) -> None:
-        self._handler = handler
-        self._sock = listen(address)
-        self.connections: set[CallerConnection] = set()
-
-    @property
-    def address(self) -> tuple[str, int]:
-        """Where it listens."""
-        return self._sock.getsockname()
-
-    def run(self) -> None:
-        """Accepts until the socket is closed."""
-        while True:
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                if self._sock.fileno() < 0:
-                    return
-                eventlet.sleep(0.05)  # Out of descriptors, most likely.
-                continue
-            eventlet.spawn_n(self._serve, sock)
-
-    def close_idle(self) -> None:
-        """Closes connections without a request under way."""
-        for conn in list(self.connections):
-            conn.close_if_idle()
-
-    def close(self) -> None:
-        """Closes the listening socket and all connections."""
-        self._sock.close()
-        for conn in list(self.connections):
-            conn.shut()
-
-    def busy(self) -> int:
-        """Returns the number of requests under way."""
-        return sum(not conn.idle for conn in self.connections)
-
-    def _serve(self, sock: green_socket.GreenSocket) -> None:
-        with contextlib.suppress(OSError):
-            channel.tune(sock)
-        conn = CallerConnection(sock, self._handler)
-        self.connections.add(conn)
-        try:
-            conn.run()
-        finally:
-            self.connections.discard(conn)
-
-
-def listen(address: tuple[str, int]) -> green_socket.GreenSocket:
-    """Returns a listening socket."""
-    sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(address)
-    sock.listen(_BACKLOG)
-    return sock
-
-
 def problem(failure: errors.Failure) -> bytes:
     """Returns the body of an answer that tells of a failure."""
     fields = {"error": failure.kind.value, "run": failure.run.value}
--- /dev/null
+++ b/libs/http/src/dandelionlead/http/listener.py
@@ -0,0 +1,83 @@
+"""Accepts connections of callers."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+
+import eventlet
+import eventlet.green.socket as green_socket
+
+from dandelionlead.http import callers
+from dandelionlead.http import channel
+
+_BACKLOG = 512
+
+
+class Listener:
+    """Accepts connections of callers.
+
+    Attributes:
+        connections: Those that are open.
+        accepted: How many there were.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], handler: callers.Handler
+    ) -> None:
+        self._handler = handler
+        self._sock = listen(address)
+        self.connections: set[callers.CallerConnection] = set()
+        self.accepted = 0
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self._sock.getsockname()
+
+    def run(self) -> None:
+        """Accepts until the socket is closed."""
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                if self._sock.fileno() < 0:
+                    return
+                eventlet.sleep(0.05)  # Out of descriptors, most likely.
+                continue
+            self.accepted += 1
+            eventlet.spawn_n(self._serve, sock)
+
+    def close_idle(self) -> None:
+        """Closes connections without a request under way."""
+        for conn in list(self.connections):
+            conn.close_if_idle()
+
+    def close(self) -> None:
+        """Closes the listening socket and all connections."""
+        self._sock.close()
+        for conn in list(self.connections):
+            conn.shut()
+
+    def busy(self) -> int:
+        """Returns the number of requests under way."""
+        return sum(not conn.idle for conn in self.connections)
+
+    def _serve(self, sock: green_socket.GreenSocket) -> None:
+        with contextlib.suppress(OSError):
+            channel.tune(sock)
+        conn = callers.CallerConnection(sock, self._handler)
+        self.connections.add(conn)
+        try:
+            conn.run()
+        finally:
+            self.connections.discard(conn)
+
+
+def listen(address: tuple[str, int]) -> green_socket.GreenSocket:
+    """Returns a listening socket."""
+    sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(_BACKLOG)
+    return sock
--- a/libs/http/tests/test_callers.py
+++ b/libs/http/tests/test_callers.py
@@ -10,6 +10,7 @@
 
 from dandelionlead.http import callers
 from dandelionlead.http import limits
+from dandelionlead.http import listener
 
 _HOST = b"Host: a\r\n"
 
@@ -39,7 +40,7 @@
 class _Case(unittest.TestCase):
     def setUp(self) -> None:
         self.handler = _Echo()
-        self.listener = callers.Listener(("127.0.0.1", 0), self.handler)
+        self.listener = listener.Listener(("127.0.0.1", 0), self.handler)
         eventlet.spawn_n(self.listener.run)
         self.address = self.listener.address
 
--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -29,6 +29,7 @@
 from dandelionlead.http import callers  # noqa: E402
 from dandelionlead.http import channel  # noqa: E402
 from dandelionlead.http import limits  # noqa: E402
+from dandelionlead.http import listener  # noqa: E402
 
 _REQUESTS = 3_000
 _STREAMS = 20
@@ -80,7 +81,7 @@
 def _serve_h11(sock: socket.socket, target: tuple[str, int]) -> None:
     address = sock.getsockname()
     sock.close()
-    callers.Listener(address, _Forwarder(target)).run()
+    listener.Listener(address, _Forwarder(target)).run()
 
 
 def _serve_wsgi(sock: socket.socket, target: tuple[str, int]) -> None:
