Keep growing copies in the zone of the run

Cause: backups were placed near the process that relays the run, though the copy goes from engine to engine. Change: an engine of the run's own zone takes the backup unless it is fuller by 0.2 of its memory. Tests: test_backup_is_in_the_zone_of_the_run (failed first), test_full_engine_of_the_zone_is_passed_over.

--- a/libs/gateway/src/dandelionlead/gateway/supervisor.py
+++ b/libs/gateway/src/dandelionlead/gateway/supervisor.py
@@ -16,6 +16,9 @@
 from dandelionlead.routing import placement
 from dandelionlead.routing import view
 
+# A copy that grows in another zone takes twice the links' time.
+FAR_COST = 0.2
+
 
 class RunSupervisor:
     """Runs by engine, and the evacuations under way."""
@@ -94,6 +97,8 @@
             now_s,
             excluded={run.endpoint.endpoint_id},
             fill=policy.crowded_backup_fill if crowded else policy.backup_fill,
+            near=run.endpoint.availability_zone,
+            far_cost=FAR_COST,
         )
         if found is None:
             return
--- a/libs/gateway/tests/test_moves.py
+++ b/libs/gateway/tests/test_moves.py
@@ -146,6 +146,27 @@
 class BackupTest(_Case):
     """Backups are kept where there is room, and forgotten with their engine."""
 
+    def test_backup_is_in_the_zone_of_the_run(self) -> None:
+        """Between zones it would take the links' time that moves need.
+
+        The process is in zone a; the run and one free engine are in b.
+        """
+        for number in range(2):
+            near = model.Endpoint(f"n{number}", "engines", "10.0.0.2", 1, "b")
+            self.view.set_endpoint(near)
+        run = self.run_at("n0")
+        self.mover.back_up(run)
+        self.assertEqual(run.backup_at.endpoint_id, "n1")
+
+    def test_full_engine_of_the_zone_is_passed_over(self) -> None:
+        for number in range(2):
+            near = model.Endpoint(f"n{number}", "engines", "10.0.0.2", 1, "b")
+            self.view.set_endpoint(near)
+        self.places.loads.begin("n1", 18_000, 0)
+        run = self.run_at("n0")
+        self.mover.back_up(run)
+        self.assertNotEqual(run.backup_at.endpoint_id, "n1")
+
     def test_run_with_a_backup_stays(self) -> None:
         run = self.run_at("e0")
         self.mover.back_up(run)
