--- a/libs/ctl/src/dandelionlead/ctl/__init__.py
+++ b/libs/ctl/src/dandelionlead/ctl/__init__.py
@@ -1,1 +1,1 @@
-"""What the dandelionctl command line shows."""
+"""Commands of dandelionctl, and what they show."""
