Log and count a call that a second endpoint answered as answered

Ruled out: answers that were really replaced; the callers got 200 each time. Change: what an attempt failed with is forgotten once another one settles. Tests: test_line_of_a_call_that_a_second_worker_answered (failed first).

--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -110,6 +110,7 @@
                 break
             if self._offer():
                 self._answered = True
+                self._failure = None
                 return
             if not self._may_offer_again():
                 break
