Make no backups while engines are full on the mean

A call that was passed on with the endpoint's own error has no failure in its line; a quarantine is looked up with the present time for each offer.

--- a/libs/config/src/dandelionlead/config/policy_file.py
+++ b/libs/config/src/dandelionlead/config/policy_file.py
@@ -54,6 +54,7 @@
     "backups": _Switch(),
     "backup_fill": _Number(0, 1),
     "crowded_backup_fill": _Number(0, 1),
+    "backup_mean_fill": _Number(0, 1),
     "movable_runs": _Number(0, 1_000, whole=True),
     "run_fill": _Number(0.1, 1),
     "short_run_fill": _Number(0.1, 4),
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -99,10 +99,10 @@
 
     def run(self) -> None:
         """Offers the call to endpoints until one answers or none is left."""
-        now_s = clock.boottime()
-        self._parts.places.first(self._admitted, now_s)
+        places = self._parts.places
+        places.first(self._admitted, clock.boottime())
         for _ in range(_MAX_OFFERS):
-            if self._parts.places.crashes.refused(self._print, now_s):
+            if places.crashes.refused(self._print, clock.boottime()):
                 self._failure = errors.Failure(
                     errors.Kind.REQUEST_QUARANTINED,
                     "endpoints that ran this request crashed",
@@ -118,6 +118,7 @@
         if self._kept is not None and not self._reply.started:
             answer, body = self._kept
             self._status = answer.status
+            self._failure = None
             self._reply.whole(answer.status, answer.headers, body)
             return
         failure = self._final_failure()
--- a/libs/gateway/src/dandelionlead/gateway/supervisor.py
+++ b/libs/gateway/src/dandelionlead/gateway/supervisor.py
@@ -89,10 +89,13 @@
         if run.admitted.route.repeatable:
             return
         now_s = clock.boottime()
+        service = run.admitted.service
+        if self._places.mean_fill(service, now_s) > policy.backup_mean_fill:
+            return
         unsaved = self._places.loads.unsaved(run.endpoint.endpoint_id, now_s)
         crowded = unsaved >= policy.movable_runs
         found = self._places.choose(
-            run.admitted.service,
+            service,
             run.tokens,
             now_s,
             excluded={run.endpoint.endpoint_id},
--- a/libs/gateway/tests/test_moves.py
+++ b/libs/gateway/tests/test_moves.py
@@ -225,6 +225,18 @@
         self.mover.back_up(run)
         self.assertIsNone(run.backup_at)
 
+    def test_no_backup_while_engines_are_full_on_the_mean(self) -> None:
+        """Calls would wait for the room that copies take.
+
+        An engine was just added and is empty; the others are full of long
+        runs, and more calls come than all of them bear.
+        """
+        for number in range(3):
+            self.places.loads.begin(f"e{number}", 28_000, 0)
+        run = self.run_at("e0", 2_000)
+        self.mover.back_up(run)
+        self.assertIsNone(run.backup_at)
+
     def test_memory_is_given_back(self) -> None:
         run = self.run_at("e0")
         self.mover.back_up(run)
--- a/libs/routing/src/dandelionlead/routing/placement.py
+++ b/libs/routing/src/dandelionlead/routing/placement.py
@@ -170,6 +170,17 @@
         """Whether a service has an endpoint that may get work."""
         return bool(self._view.open_endpoints(service))
 
+    def mean_fill(self, service: model.Service, now_s: float) -> float:
+        """Returns the part of all open engines' memory that is spoken for."""
+        opened = self._view.open_endpoints(service.name)
+        if service.engine is None or not opened:
+            return 0.0
+        tokens = sum(
+            self.loads.total(endpoint.endpoint_id, now_s).tokens
+            for endpoint in opened
+        )
+        return tokens / (len(opened) * service.engine.memory_tokens)
+
     def backlog(self, endpoint: model.Endpoint, now_s: float) -> int:
         """Returns the prompt tokens that an engine has yet to read."""
         return self.loads.total(endpoint.endpoint_id, now_s).prefill
