Name the engine that broke off in run_lost, and only when an answer broke off

Cause: the last reading found that run_lost named the engine that had refused to go on from a backup, not the one that ended, and that it was written for calls without an event, which may still go to another engine. Change: the line takes the engine whose answer ended, once events have reached the caller. A constant of one module is private.

--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -107,8 +107,8 @@
                 done.close()
                 kept = self._kept()
                 current = self._continue(failure)
-                if current is None:
-                    self._say_lost(failure, kept)
+                if current is None and self._reply.started:
+                    self._say_lost(done.endpoint, failure, kept)
             return self.outcome
         finally:
             if current is not None:
@@ -135,12 +135,21 @@
             return f"backup at {run.backup_at.endpoint_id}"
         return "nowhere"
 
-    def _say_lost(self, failure: errors.Failure, kept: str) -> None:
+    def _say_lost(
+        self, source: model.Endpoint, failure: errors.Failure, kept: str
+    ) -> None:
+        """Says why a caller's answer breaks off.
+
+        Args:
+            source: The engine that broke off.
+            failure: What it did.
+            kept: Where else the run's memory was then.
+        """
         run = self._run
         self._log.event(
             "run_lost",
             req=run.request_id,
-            endpoint=run.endpoint.endpoint_id,
+            endpoint=source.endpoint_id,
             memory=kept,
             moving=run.moving,
             moves=run.moves,
--- a/libs/gateway/src/dandelionlead/gateway/supervisor.py
+++ b/libs/gateway/src/dandelionlead/gateway/supervisor.py
@@ -17,7 +17,7 @@
 from dandelionlead.routing import view
 
 # A copy that grows in another zone takes twice the links' time.
-FAR_COST = 0.2
+_FAR_COST = 0.2
 
 
 class RunSupervisor:
@@ -101,7 +101,7 @@
             excluded={run.endpoint.endpoint_id},
             fill=policy.crowded_backup_fill if crowded else policy.backup_fill,
             near=run.endpoint.availability_zone,
-            far_cost=FAR_COST,
+            far_cost=_FAR_COST,
         )
         if found is None:
             return
