Look for expired words of peers only when one has expired

Cause: the last reading found that each look at one engine's load went over all peers to find words that had ended. Change: the load book keeps an instant before which no word ends. Behaviour is the same; no test was changed.

--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -88,7 +88,6 @@
         self._reply = reply
         self._tried: set[str] = set()
         self._ran = 0
-        self._offered_s = 0.0
         self._last = ""
         self._failure: errors.Failure | None = None
         self._status = 0
@@ -98,35 +97,22 @@
         self._print = crashes.fingerprint(admitted)
 
     def run(self) -> None:
-        """Offers the call to endpoints until one answers or none is left."""
-        places = self._parts.places
-        places.first(self._admitted, clock.boottime())
-        for _ in range(_MAX_OFFERS):
-            if places.crashes.refused(self._print, clock.boottime()):
-                self._failure = errors.Failure(
-                    errors.Kind.REQUEST_QUARANTINED,
-                    "endpoints that ran this request crashed",
-                )
-                break
-            if self._offer():
-                self._answered = True
-                self._failure = None
-                return
-            if not self._may_offer_again():
-                break
+        """Serves the call: an endpoint's answer, or a true refusal."""
+        settled = self._offer_around()
         self._answered = True
-        if self._kept is not None and not self._reply.started:
+        if settled:
+            self._failure = None
+        elif self._kept is not None and not self._reply.started:
             answer, body = self._kept
             self._status = answer.status
             self._failure = None
             self._reply.whole(answer.status, answer.headers, body)
-            return
-        failure = self._final_failure()
-        self._failure = failure
-        if not self._reply.started:
-            self._parts.accounts.refuse(
-                self._reply, failure, self._call.request_id
-            )
+        else:
+            self._failure = self._final_failure()
+            if not self._reply.started:
+                self._parts.accounts.refuse(
+                    self._reply, self._failure, self._call.request_id
+                )
 
     def close(self) -> None:
         """Writes the line of the call, however it ended."""
@@ -144,10 +130,8 @@
             first_s = max(0.0, outcome.first_s - self._call.arrived_s)
             fields["first_ms"] = int(first_s * 1e3)
             self._last = outcome.last_endpoint or self._last
-            if failure is None:
+            if failure is None and not outcome.complete:
                 failure = outcome.failure
-            if outcome.complete:
-                failure = None
         self._parts.accounts.call(
             self._call,
             self._admitted,
@@ -158,6 +142,23 @@
             **fields,
         )
 
+    def _offer_around(self) -> bool:
+        """Offers the call until it is settled or no endpoint is left."""
+        places = self._parts.places
+        places.first(self._admitted, clock.boottime())
+        for _ in range(_MAX_OFFERS):
+            if places.crashes.refused(self._print, clock.boottime()):
+                self._failure = errors.Failure(
+                    errors.Kind.REQUEST_QUARANTINED,
+                    "endpoints that ran this request crashed",
+                )
+                return False
+            if self._offer():
+                return True
+            if not self._may_offer_again():
+                return False
+        return False
+
     def _offer(self) -> bool:
         """Sends the call to one endpoint; returns whether it is settled."""
         parts = self._parts
@@ -180,7 +181,7 @@
             cleanup.callback(self._drop, run)
             started = self._start(run)
             if isinstance(started, errors.Failure):
-                self._note_failure(endpoint, started)
+                self._note_failure(run, started)
                 return False
             cleanup.callback(started.close)
             if self._refused(started):
@@ -188,14 +189,13 @@
             if self._is_stream(started):
                 cleanup.pop_all()  # The relay takes over.
                 return self._relay(run, started)
-            return self._pass_whole(started)
+            return self._pass_whole(run, started)
 
     def _begin(
         self, endpoint: model.Endpoint, tokens: int, now_s: float
     ) -> runs.Run:
         """Counts a send that is about to happen."""
         parts = self._parts
-        self._offered_s = now_s
         self._tried.add(endpoint.endpoint_id)
         self._last = endpoint.endpoint_id
         if tokens:
@@ -234,10 +234,9 @@
         streams = self._admitted.route.kind is model.CallKind.STREAMING
         return streams and started.answer.status == 200
 
-    def _note_failure(
-        self, endpoint: model.Endpoint, failure: errors.Failure
-    ) -> None:
+    def _note_failure(self, run: runs.Run, failure: errors.Failure) -> None:
         parts = self._parts
+        endpoint = run.endpoint
         now_s = clock.boottime()
         if failure.kind is errors.Kind.ENDPOINT_SILENT:
             # The route's own time may be shorter than the work.
@@ -251,7 +250,7 @@
             parts.crash_check.broke_off(self._print, endpoint)
         self._failure = failure
         self._ran += failure.run is not errors.Run.NOT_RUN
-        took_s = now_s - self._offered_s
+        took_s = now_s - run.sent_s
         parts.places.ended(endpoint, took_s, failed=True)
         parts.log.event(
             "attempt_failed",
@@ -303,7 +302,7 @@
         self._outcome = relayed.outcome
         outcome = relayed.pump(started)
         now_s = clock.boottime()
-        first_s = max(0.0, (outcome.first_s or now_s) - self._offered_s)
+        first_s = max(0.0, (outcome.first_s or now_s) - run.sent_s)
         parts.places.ended(
             started.endpoint, first_s, failed=not outcome.complete
         )
@@ -319,11 +318,11 @@
             parts.crash_check.broke_off(self._print, run.endpoint)
         return False
 
-    def _pass_whole(self, started: attempt.Started) -> bool:
+    def _pass_whole(self, run: runs.Run, started: attempt.Started) -> bool:
         """Passes a whole answer on, or keeps it back for another try."""
         parts = self._parts
         admitted = self._admitted
-        endpoint_id = started.endpoint.endpoint_id
+        endpoint_id = run.endpoint.endpoint_id
         body = started.conn.read_all(admitted.until_s, attempt.MAX_BODY_BYTES)
         now_s = clock.boottime()
         self._ran += 1
@@ -336,9 +335,9 @@
         failed = answer.status >= 500
         parts.places.health.answered(endpoint_id, now_s, failed=failed)
         parts.places.crashes.ended_well(self._print, now_s)
-        took_s = now_s - self._offered_s
-        parts.places.ended(started.endpoint, took_s, failed=failed)
-        if answer.status >= 500 and self._worth_another(now_s):
+        took_s = now_s - run.sent_s
+        parts.places.ended(run.endpoint, took_s, failed=failed)
+        if failed and self._worth_another(now_s):
             self._kept = (answer, body)
             self._failure = errors.Failure(
                 errors.Kind.ENDPOINT_FAILED, f"status {answer.status}"
--- a/libs/routing/src/dandelionlead/routing/loads.py
+++ b/libs/routing/src/dandelionlead/routing/loads.py
@@ -70,6 +70,8 @@
         self._peers: dict[str, tuple[float, dict[str, Load]]] = {}
         # Sums over all peers, so that a choice need not add them up.
         self._heard: dict[str, Load] = {}
+        # No peer's word ends before this instant.
+        self._expires_s = float("inf")
 
     def begin(
         self, endpoint_id: str, tokens: int, prefill: int, *, runs: int = 1
@@ -110,10 +112,11 @@
         self, endpoint_id: str, now_s: float
     ) -> dict[str, int]:
         """Returns how many of them each live peer has, if it has any."""
+        self._expire(now_s)
         found = {}
-        for peer, (until_s, loads) in self._peers.items():
+        for peer, (_, loads) in self._peers.items():
             load = loads.get(endpoint_id)
-            if load is not None and load.unsaved and now_s <= until_s:
+            if load is not None and load.unsaved:
                 found[peer] = load.unsaved
         return found
 
@@ -148,6 +151,7 @@
         """
         self._forget(peer)
         self._peers[peer] = (until_s, loads)
+        self._expires_s = min(self._expires_s, until_s)
         for endpoint_id, load in loads.items():
             self._add_heard(endpoint_id, load)
 
@@ -186,6 +190,9 @@
         }
 
     def _expire(self, now_s: float) -> None:
+        """Forgets peers whose word has ended."""
+        if now_s <= self._expires_s:
+            return
         late = [
             peer
             for peer, (until_s, _) in self._peers.items()
@@ -193,6 +200,10 @@
         ]
         for peer in late:
             self._forget(peer)
+        self._expires_s = min(
+            (until_s for until_s, _ in self._peers.values()),
+            default=float("inf"),
+        )
 
     def _forget(self, peer: str) -> None:
         """Takes a peer's word off the sums."""
