Compress and limit copies of tables between peers

Cause: 47 of 59 processes copy a changed row from the peer that announces it first. The row takes 0.3 MB, half a second on a link of 5 Mbit/s, but a copy had to end within 0.8 s, and another one was started beside it every 0.15 s. The copies of all processes competed until the links were full and none ended: retries that do not wait for the attempt before them.

Change: values above 1 kB are compressed for copies; a process sends four large copies at a time and refuses further ones at once, so that its peers ask the next holder; a process has two copies in progress, and one may go on while bytes arrive. Metric table_copies_total. Both new fields are optional on the wire, so that old and new processes can copy from each other.

Test: LargeTableTest failed before (none of 23 processes had the table after 2 s) and passes.

--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -113,6 +113,8 @@
   // Not set if the row was deleted.
   2: binary value
   3: i64 version
+  // Whether the value is compressed by zlib.
+  4: bool is_compressed
 }
 
 // A table at a version: all rows of the table if `whole` is set, otherwise the
@@ -130,10 +132,15 @@
 struct CopyRequest {
   // The version of each requested table that the sender holds, by table name.
   1: map<string, i64> known_versions
+  // Whether the sender can read compressed values.
+  2: bool accepts_compression
 }
 
 // The requested tables. A table is left out if the receiver of the request does
 // not hold it, or holds an older version of it than the sender.
 struct CopyResponse {
   1: list<Table> tables
+  // Set if the tables were left out because the process is sending as many
+  // large copies as it may; another peer may have them.
+  2: bool is_busy
 }
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -1000,6 +1000,7 @@
      - key
      - value
      - version
+     - is_compressed
 
     """
 
@@ -1007,13 +1008,15 @@
         'key',
         'value',
         'version',
+        'is_compressed',
     )
 
 
-    def __init__(self, key=None, value=None, version=None,):
+    def __init__(self, key=None, value=None, version=None, is_compressed=None,):
         self.key = key
         self.value = value
         self.version = version
+        self.is_compressed = is_compressed
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1039,6 +1042,11 @@
                     self.version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_compressed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1061,6 +1069,10 @@
             oprot.writeFieldBegin('version', TType.I64, 3)
             oprot.writeI64(self.version)
             oprot.writeFieldEnd()
+        if self.is_compressed is not None:
+            oprot.writeFieldBegin('is_compressed', TType.BOOL, 4)
+            oprot.writeBool(self.is_compressed)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1215,16 +1227,19 @@
     """
     Attributes:
      - known_versions
+     - accepts_compression
 
     """
 
     __slots__ = (
         'known_versions',
+        'accepts_compression',
     )
 
 
-    def __init__(self, known_versions=None,):
+    def __init__(self, known_versions=None, accepts_compression=None,):
         self.known_versions = known_versions
+        self.accepts_compression = accepts_compression
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1246,6 +1261,11 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.accepts_compression = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1264,6 +1284,10 @@
                 oprot.writeI64(viter71)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.accepts_compression is not None:
+            oprot.writeFieldBegin('accepts_compression', TType.BOOL, 2)
+            oprot.writeBool(self.accepts_compression)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1293,16 +1317,19 @@
     """
     Attributes:
      - tables
+     - is_busy
 
     """
 
     __slots__ = (
         'tables',
+        'is_busy',
     )
 
 
-    def __init__(self, tables=None,):
+    def __init__(self, tables=None, is_busy=None,):
         self.tables = tables
+        self.is_busy = is_busy
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1324,6 +1351,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.is_busy = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1341,6 +1373,10 @@
                 iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.is_busy is not None:
+            oprot.writeFieldBegin('is_busy', TType.BOOL, 2)
+            oprot.writeBool(self.is_busy)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1441,6 +1477,7 @@
     (1, TType.STRING, 'key', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'value', 'BINARY', None, ),  # 2
     (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.BOOL, 'is_compressed', None, None, ),  # 4
 )
 all_structs.append(Table)
 Table.thrift_spec = (
@@ -1455,11 +1492,13 @@
 CopyRequest.thrift_spec = (
     None,  # 0
     (1, TType.MAP, 'known_versions', (TType.STRING, 'UTF8', TType.I64, None, False), None, ),  # 1
+    (2, TType.BOOL, 'accepts_compression', None, None, ),  # 2
 )
 all_structs.append(CopyResponse)
 CopyResponse.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'tables', (TType.STRUCT, [Table, None], False), None, ),  # 1
+    (2, TType.BOOL, 'is_busy', None, None, ),  # 2
 )
 fix_spec(all_structs)
 del all_structs
--- a/libs/cluster/src/dandelionlead/cluster/peer_transport.py
+++ b/libs/cluster/src/dandelionlead/cluster/peer_transport.py
@@ -25,6 +25,7 @@
 
 from dandelionlead.cluster import mirror
 from dandelionlead.cluster import roster
+from dandelionlead.cluster import table_sending
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
 from dandelionlead.core import errors
@@ -39,6 +40,8 @@
 _MAX_CHANGE_DATAGRAMS_PER_S = 3_000.0
 _MAX_DATAGRAM_BYTES = 60_000
 _MAX_FRAME_BYTES = 16_777_216
+# Time within which a peer must receive the copy that it requested.
+_SERVE_COPY_TIMEOUT_S = 2.0
 # Largest number of peer hosts that a heartbeat lists. The hosts are drawn at
 # random, so that successive heartbeats list different ones.
 _MAX_KNOWN_HOSTS = 4
@@ -55,6 +58,23 @@
 )
 
 
+class CopyLimits:
+    """Limits on the time that copying tables from a peer may take.
+
+    Attributes:
+        idle_timeout_s: Time in seconds within which the connection must be
+            open, and within which more of the response must arrive.
+        total_timeout_s: Time in seconds for connection, request and response
+            together.
+    """
+
+    __slots__ = ("idle_timeout_s", "total_timeout_s")
+
+    def __init__(self, idle_timeout_s: float, total_timeout_s: float) -> None:
+        self.idle_timeout_s = idle_timeout_s
+        self.total_timeout_s = total_timeout_s
+
+
 class PeerMessageHandler(abc.ABC):
     """Builds the messages to peers and processes the messages from peers."""
 
@@ -103,7 +123,7 @@
         """
         self._address = address
         self._peer_roster = peer_roster
-        self._table_mirror = table_mirror
+        self._table_sender = table_sending.TableSender(table_mirror)
         self._handler = handler
         self._log = log
         self._udp_socket = green_socket.socket(
@@ -198,7 +218,7 @@
                 self._udp_socket.sendto(datagram, (host, self._address[1]))
 
     def request_tables(
-        self, host: str, known_versions: dict[str, int], timeout_s: float
+        self, host: str, known_versions: dict[str, int], limits: CopyLimits
     ) -> ttypes.CopyResponse | errors.Failure:
         """Requests tables from a peer.
 
@@ -207,18 +227,19 @@
             known_versions: Versions of the requested tables that this process
                 holds, by table name. The peer leaves out tables that it holds
                 at an older version.
-            timeout_s: Timeout in seconds for connection, request and response
-                together.
+            limits: Limits on the time of the copy.
 
         Returns:
             The response, or a failure of kind `PEER_UNREACHABLE` if the peer
             did not send a valid response in time.
         """
+        req = ttypes.CopyRequest(known_versions, accepts_compression=True)
         sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.settimeout(limits.idle_timeout_s)
         try:
-            with eventlet.Timeout(timeout_s):
+            with eventlet.Timeout(limits.total_timeout_s):
                 sock.connect((host, self._address[1]))
-                _send_frame(sock, encode(ttypes.CopyRequest(known_versions)))
+                _send_frame(sock, encode(req))
                 return decode(ttypes.CopyResponse(), _read_frame(sock))
         except (OSError, eventlet.Timeout, *_DECODE_ERRORS) as exc:
             return errors.Failure(
@@ -278,52 +299,15 @@
     def _serve_copy_request(self, sock: green_socket.GreenSocket) -> None:
         """Reads a copy request, sends the response and closes the socket."""
         try:
-            with eventlet.Timeout(2.0):
+            with eventlet.Timeout(_SERVE_COPY_TIMEOUT_S):
                 req = decode(ttypes.CopyRequest(), _read_frame(sock))
-                tables = self._build_tables(req.known_versions)
-                _send_frame(sock, encode(ttypes.CopyResponse(tables)))
+                with self._table_sender.open_response(req) as resp:
+                    _send_frame(sock, encode(resp))
         except (OSError, eventlet.Timeout, *_DECODE_ERRORS) as exc:
             self._log.event("copy_not_answered", reason=repr(exc))
         finally:
             sock.close()
 
-    def _build_tables(
-        self, known_versions: dict[str, int]
-    ) -> list[ttypes.Table]:
-        """Builds the tables of the response to a copy request.
-
-        A requested table is left out if this process does not hold it, or holds
-        an older version of it than the peer. If both hold the same version, the
-        message contains no rows, only the time since the store was last
-        confirmed to hold no newer version.
-
-        Args:
-            known_versions: Versions that the peer holds, by table name.
-        """
-        now_s = clock.boottime()
-        tables = []
-        for name, known_version in known_versions.items():
-            table = self._table_mirror.tables.get(name)
-            if table is None or table.version < known_version:
-                continue
-            # The age is infinite if the table was never confirmed. 1e9 is a
-            # limit that fits into the i32 field of the message.
-            confirmed_ms_ago = int(
-                min(1e9, (now_s - table.last_confirmed_s) * 1e3)
-            )
-            changed = table.changes_since(known_version)
-            is_whole = changed is None
-            rows = [
-                ttypes.Row(row.key, row.value, row.version)
-                for row in (table.rows.values() if is_whole else changed)
-            ]
-            tables.append(
-                ttypes.Table(
-                    name, table.version, rows, confirmed_ms_ago, is_whole
-                )
-            )
-        return tables
-
 
 def sample_hosts(peer_roster: roster.Roster) -> list[str]:
     """Returns a random sample of peer hosts to list in a heartbeat."""
--- a/libs/cluster/src/dandelionlead/cluster/table_copier.py
+++ b/libs/cluster/src/dandelionlead/cluster/table_copier.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 import eventlet
 
 from dandelionlead.cluster import mirror
@@ -10,6 +12,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
+from dandelionlead.core import metrics
 
 # Shortest time between the starts of two copies if the second one is started
 # because a peer's heartbeat lists a newer version.
@@ -17,7 +20,12 @@
 # Shortest time between the starts of two copies while this process cannot read
 # the store itself.
 STORE_OUTAGE_PAUSE_S = 0.7
-_COPY_TIMEOUT_S = 0.8
+# A second copy at the same time, from another peer, covers for a peer that has
+# become unreachable. More would compete for the link of this process.
+_MAX_CONCURRENT_COPIES = 2
+_COPY_LIMITS = peer_transport.CopyLimits(
+    idle_timeout_s=0.8, total_timeout_s=2.0
+)
 
 
 class TableCopier:
@@ -27,6 +35,7 @@
         table_mirror: Mirror that the copies are applied to.
         transport: Sends the requests for copies to peers.
         log: Receives an event for each copy that fails.
+        metrics_registry: Counts the copies by outcome.
     """
 
     def __init__(
@@ -34,14 +43,22 @@
         table_mirror: mirror.Mirror,
         transport: peer_transport.PeerTransport,
         log: events.Log,
+        metrics_registry: metrics.Registry,
     ) -> None:
         self._table_mirror = table_mirror
         self._transport = transport
         self._log = log
+        self._metrics_registry = metrics_registry
         self._last_copy_start_s = 0.0
+        self._hosts_in_copy: set[str] = set()
 
     def start_copy(self, host: str, min_pause_s: float) -> None:
-        """Starts a copy of all tables unless the last one started too recently.
+        """Starts a copy of all tables, unless there are too many.
+
+        No copy is started if the last one was started too recently, if one from
+        this peer is in progress, or if the maximum number of copies is in
+        progress. Copies that compete for a link would otherwise all exceed
+        their time limits, and be started again.
 
         Args:
             host: Host of the peer to copy from.
@@ -49,25 +66,51 @@
                 start of the last one.
         """
         now_s = clock.boottime()
-        if now_s - self._last_copy_start_s >= min_pause_s:
-            self._last_copy_start_s = now_s
-            eventlet.spawn_n(self._copy, host)
+        if now_s - self._last_copy_start_s < min_pause_s:
+            return
+        if host in self._hosts_in_copy:
+            return
+        if len(self._hosts_in_copy) >= _MAX_CONCURRENT_COPIES:
+            return
+        self._last_copy_start_s = now_s
+        self._hosts_in_copy.add(host)
+        eventlet.spawn_n(self._copy, host)
 
     def _copy(self, host: str) -> None:
-        """Requests all tables from a peer and applies those it sends."""
+        """Copies all tables from a peer and counts the outcome."""
+        try:
+            outcome = self._request_and_apply(host)
+        finally:
+            self._hosts_in_copy.discard(host)
+        self._metrics_registry.count("table_copies_total", outcome=outcome)
+
+    def _request_and_apply(self, host: str) -> str:
+        """Requests all tables from a peer and applies those it sends.
+
+        Returns:
+            The outcome, a label of the metric: `applied`, `busy` if the peer
+            sends too many copies already, or `failed`.
+        """
         requested_s = clock.boottime()
         known_versions = {
             name: table.version
             for name, table in self._table_mirror.tables.items()
         }
         resp = self._transport.request_tables(
-            host, known_versions, _COPY_TIMEOUT_S
+            host, known_versions, _COPY_LIMITS
         )
         if isinstance(resp, errors.Failure):
             self._log.event("copy_from_peer_failed", reason=resp.reason)
-            return
-        for table in resp.tables:
-            self._apply_table(table, requested_s)
+            return "failed"
+        if resp.is_busy:
+            return "busy"
+        try:
+            for table in resp.tables:
+                self._apply_table(table, requested_s)
+        except zlib.error as exc:
+            self._log.event("copy_from_peer_failed", reason=repr(exc))
+            return "failed"
+        return "applied"
 
     def _apply_table(self, table: ttypes.Table, requested_s: float) -> None:
         """Applies a copied table to the mirror.
@@ -81,10 +124,14 @@
             table: The copied table.
             requested_s: Time at which the copy was requested, in seconds of
                 `clock.boottime`.
+
+        Raises:
+            zlib.error: If a compressed value is corrupt.
         """
         confirmed_s = requested_s - table.confirmed_ms_ago / 1e3
         rows = [
-            mirror.Row(row.key, row.value, row.version) for row in table.rows
+            mirror.Row(row.key, _decode_value(row), row.version)
+            for row in table.rows
         ]
         apply_rows = (
             self._table_mirror.replace_table
@@ -92,3 +139,8 @@
             else self._table_mirror.apply_changes
         )
         apply_rows(table.name, rows, table.version, confirmed_s)
+
+
+def _decode_value(row: ttypes.Row) -> bytes | None:
+    """Returns the value of a copied row; None if the row was deleted."""
+    return zlib.decompress(row.value) if row.is_compressed else row.value
--- a/libs/cluster/tests/test_peer_transport.py
+++ b/libs/cluster/tests/test_peer_transport.py
@@ -7,22 +7,33 @@
 
 from __future__ import annotations
 
+import json
 import os
+import random
 import unittest
+from unittest import mock
 
 import eventlet
 
 from dandelionlead.cluster import mirror
 from dandelionlead.cluster import peer_transport
 from dandelionlead.cluster import roster
+from dandelionlead.cluster import table_copier
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
 from dandelionlead.core import events
+from dandelionlead.core import metrics
 
 _PORT = 7200
 # Five messages of this size per second to each of 58 peers take less than a
 # tenth of a link of 5 Mbit/s.
 _MAX_LOAD_CHANGE_BYTES = 200
+_LIMITS = peer_transport.CopyLimits(idle_timeout_s=1.0, total_timeout_s=1.0)
+# The slowest links carry 5 Mbit/s.
+_LINK_BYTES_PER_S = 625_000.0
+# Time within which a change must be in force at all processes. The tightest
+# bound of the users' deployments.
+_MAX_SPREAD_S = 2.0
 
 
 class _RecordingHandler(peer_transport.PeerMessageHandler):
@@ -84,12 +95,18 @@
 class _Process:
     """The transport, roster and tables of a process at its own address."""
 
-    def __init__(self, number: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        handler_type: type[_RecordingHandler] = _RecordingHandler,
+    ) -> None:
         pid = os.getpid()
         self.host = f"127.{pid % 250 + 2}.{pid // 250 % 250 + 2}.{number}"
-        self.handler = _RecordingHandler(f"n{number}", self.host)
+        self.handler = handler_type(f"n{number}", self.host)
         self.peer_roster = roster.Roster(self.handler.name, self.host)
-        self.table_mirror = mirror.Mirror(("t",), lambda *_: None)
+        self.table_mirror = mirror.Mirror(
+            ("t",), lambda *_: self.transport.schedule_heartbeat()
+        )
         self.transport = peer_transport.PeerTransport(
             (self.host, _PORT),
             self.peer_roster,
@@ -160,17 +177,144 @@
         for known_version, is_whole, keys in cases:
             with self.subTest(known_version=known_version):
                 table = self.receiver.transport.request_tables(
-                    self.sender.host, {"t": known_version}, 1.0
+                    self.sender.host, {"t": known_version}, _LIMITS
                 ).tables[0]
                 self.assertEqual(table.whole, is_whole)
                 self.assertEqual([row.key for row in table.rows], keys)
         resp = self.receiver.transport.request_tables(
-            self.sender.host, {"t": 7}, 1.0
+            self.sender.host, {"t": 7}, _LIMITS
         )
         self.assertTrue(resp.tables[0].whole)
         self.assertEqual(len(resp.tables[0].rows), 39)
 
 
+class _CopyingHandler(_RecordingHandler):
+    """Starts a copy when a peer's heartbeat lists a newer table."""
+
+    def __init__(self, name: str, host: str) -> None:
+        super().__init__(name, host)
+        self.table: mirror.Table | None = None
+        self.copier: table_copier.TableCopier | None = None
+
+    def build_heartbeat(self) -> ttypes.Heartbeat:
+        heartbeat = super().build_heartbeat()
+        heartbeat.orders_version = self.table.version
+        return heartbeat
+
+    def handle_heartbeat(self, heartbeat: ttypes.Heartbeat) -> None:
+        if heartbeat.orders_version > self.table.version:
+            self.copier.start_copy(
+                heartbeat.host, table_copier.MIN_UPDATE_PAUSE_S
+            )
+
+
+class _Link:
+    """Outgoing link of a process, which its connections share evenly."""
+
+    def __init__(self) -> None:
+        self._idle_from_s = 0.0
+
+    def send_frame(self, sock: object, data: bytes) -> None:
+        """Sends a frame in segments, each after its time on the link."""
+        frame = len(data).to_bytes(4, "big") + data
+        for start in range(0, len(frame), 4_096):
+            segment = frame[start : start + 4_096]
+            now_s = clock.boottime()
+            self._idle_from_s = (
+                max(now_s, self._idle_from_s) + len(segment) / _LINK_BYTES_PER_S
+            )
+            eventlet.sleep(self._idle_from_s - now_s)
+            sock.sendall(segment)
+
+
+def _make_large_configuration(route_count: int) -> bytes:
+    """Returns a configuration of about 200 bytes for each route."""
+    rng = random.Random(5)
+    routes = [
+        {
+            "name": f"r-{rng.getrandbits(32):08x}",
+            "host": f"{rng.getrandbits(24):06x}.example",
+            "path-prefix": f"/{rng.getrandbits(32):08x}/",
+            "kind": "idempotent",
+            "service": "s-4471",
+            "timeout-ms": 1_000,
+            "target-latency-ms": 100,
+            "max-attempts": 2,
+            "priority": 2,
+        }
+        for _ in range(route_count)
+    ]
+    return json.dumps({"version": 9, "routes": routes}).encode()
+
+
+class LargeTableTest(unittest.TestCase):
+    """A large table must reach all peers within the bound, over slow links.
+
+    Load pattern: the configuration grows by 1,400 routes, and one process after
+    another announces to all others at once that it has the new version.
+    """
+
+    def setUp(self) -> None:
+        self._links: dict[str, _Link] = {}
+        patch = mock.patch.object(
+            peer_transport, "_send_frame", self._send_frame
+        )
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def _send_frame(self, sock: object, data: bytes) -> None:
+        host = sock.getsockname()[0]
+        self._links.setdefault(host, _Link()).send_frame(sock, data)
+
+    def _start_processes(self, count: int) -> list[_Process]:
+        processes = []
+        for number in range(1, count + 1):
+            process = _Process(number, _CopyingHandler)
+            table = process.table_mirror.tables["t"]
+            table.version = 1
+            process.handler.table = table
+            process.handler.copier = table_copier.TableCopier(
+                process.table_mirror,
+                process.transport,
+                events.Log(process.handler.name),
+                metrics.Registry({}),
+            )
+            self.addCleanup(process.transport.close)
+            processes.append(process)
+        for process in processes:
+            process.peer_roster.add_hosts(item.host for item in processes)
+        eventlet.sleep(0.6)
+        return processes
+
+    # Guards against copies that compete for one slow link, all exceed their
+    # time limits and are started again, so that a confirmed configuration is
+    # not in force in time.
+    def test_grown_configuration_reaches_all_peers_over_slow_links(
+        self,
+    ) -> None:
+        processes = self._start_processes(24)
+        value = _make_large_configuration(1_448)
+        self.assertGreater(len(value), 250_000)
+        first = processes[0]
+        first.table_mirror.apply_changes(
+            "t", [mirror.Row("config", value, 2)], 2, clock.boottime()
+        )
+        first.transport.schedule_heartbeat()
+        started_s = clock.boottime()
+        missing = processes
+        while missing and clock.boottime() - started_s < _MAX_SPREAD_S:
+            eventlet.sleep(0.02)
+            missing = [
+                process
+                for process in processes
+                if process.table_mirror.tables["t"].version < 2
+            ]
+        self.assertEqual([process.host for process in missing], [])
+        for process in processes:
+            row = process.table_mirror.tables["t"].rows["config"]
+            self.assertEqual(row.value, value)
+
+
 class ManyPeersTest(unittest.TestCase):
     """Many peers must neither fill the links nor stop being live too early."""
 
--- a/libs/gateway/src/dandelionlead/gateway/process_metrics.py
+++ b/libs/gateway/src/dandelionlead/gateway/process_metrics.py
@@ -16,6 +16,9 @@
     "event_gap_seconds": "Longest time between two writes of a generation.",
     "generations_total": "Generations that ended, by end: complete or torn.",
     "moves_total": "Attempts to resume a generation at an engine.",
+    "table_copies_total": (
+        "Copies of tables from peers, by outcome: applied, busy or failed."
+    ),
     "tries_total": "Attempts to send calls to endpoints.",
     "ready_bool": "1 if callers should use this process, else 0.",
     "peers_count": "Peers whose heartbeats arrive.",
