--- a/libs/cluster/src/dandelionlead/cluster/roster.py
+++ b/libs/cluster/src/dandelionlead/cluster/roster.py
@@ -171,15 +171,19 @@
             if peer.heartbeat.ready and not peer.heartbeat.stopping
         ]
 
-    def peer_with_newest_orders(self, now_s: float) -> Peer | None:
-        """Returns the live peer whose orders table has the newest version.
+    def peers_with_newest_orders(self, now_s: float) -> list[Peer]:
+        """Returns the live peers whose orders table has the newest version.
 
-        Returns None if no peer is live.
+        Processes that copy tables should draw one of them at random. If all
+        processes chose the same peer, its link would become the bottleneck.
         """
         peers = self.live_peers(now_s)
-        return max(
-            peers, key=lambda peer: peer.heartbeat.orders_version, default=None
+        newest = max(
+            (peer.heartbeat.orders_version for peer in peers), default=-1
         )
+        return [
+            peer for peer in peers if peer.heartbeat.orders_version == newest
+        ]
 
     def latest_confirmation_s(self, now_s: float, orders_version: int) -> float:
         """Returns when peers last confirmed the orders table of this process.
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -165,6 +165,22 @@
         )
         self.assertEqual(self.roster.hosts(), ["10.0.0.2", "10.0.0.3"])
 
+    # Guards against processes without the store that all copy from one peer,
+    # whose link then limits how soon each of them has a change.
+    def test_all_peers_with_the_newest_orders_may_serve_copies(self) -> None:
+        for name, version in (("a", 5), ("b", 7), ("c", 7), ("d", 7)):
+            self.roster.accept_heartbeat(
+                self._heartbeat(node=name, orders_version=version), 10.0
+            )
+        self.roster.accept_heartbeat(
+            self._heartbeat(node="silent", orders_version=9), 1.0
+        )
+        peers = self.roster.peers_with_newest_orders(10.5)
+        self.assertEqual(
+            [peer.heartbeat.node for peer in peers], ["b", "c", "d"]
+        )
+        self.assertEqual(self.roster.peers_with_newest_orders(99.0), [])
+
     def test_confirmation_of_a_peer_with_a_newer_version_is_ignored(
         self,
     ) -> None:
