Reject prompts with a part that crashes the engines that answer it

Cause: the crash tracker knew whole requests only. Besides, the relay resumed such a run at a second engine without asking for evidence, recorded the broken connection against the engine of its last attempt, and a call that waited for room was not checked again before it was sent.

Change: routing.prompt_crashes keeps crashes by the parts of prompts but the last one, and which parts were found sound; both are shared in heartbeats, in new optional fields. A part is quarantined after three incidents since it was sound. Crashes are attributed first to the parts that were found sound the longest time ago, or never. Exchange and relay ask before each send.

--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -24,6 +24,22 @@
   2: string endpoint_id
 }
 
+// A crash of an engine before the first event of a generation whose prompt has
+// these parts.
+struct PromptCrash {
+  1: list<string> part_ids
+  // The engine and its start.
+  2: string incarnation
+  3: i32 ms_ago
+}
+
+// A part of a prompt with which a generation has produced an event.
+struct SoundPart {
+  1: string part_id
+  // Milliseconds since the latest first event of such a generation.
+  2: i32 ms_ago
+}
+
 // Outcomes of the calls of one process to an endpoint. The weight of each
 // outcome decreases with its age.
 struct EndpointHealth {
@@ -95,6 +111,9 @@
   // Outcomes at the endpoints where so many calls failed recently that peers
   // take these outcomes into account, too.
   19: list<EndpointHealth> doubtful
+  20: list<PromptCrash> prompt_crashes
+  // Those sound parts that were suspected because of a crash.
+  21: list<SoundPart> sound_parts
 }
 
 // Loads of those endpoints whose load changed since the last message.
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -212,6 +212,186 @@
         return not (self == other)
 
 
+class PromptCrash(object):
+    """
+    Attributes:
+     - part_ids
+     - incarnation
+     - ms_ago
+
+    """
+
+    __slots__ = (
+        'part_ids',
+        'incarnation',
+        'ms_ago',
+    )
+
+
+    def __init__(self, part_ids=None, incarnation=None, ms_ago=None,):
+        self.part_ids = part_ids
+        self.incarnation = incarnation
+        self.ms_ago = ms_ago
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.part_ids = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.part_ids.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.ms_ago = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PromptCrash')
+        if self.part_ids is not None:
+            oprot.writeFieldBegin('part_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.part_ids))
+            for iter6 in self.part_ids:
+                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.ms_ago is not None:
+            oprot.writeFieldBegin('ms_ago', TType.I32, 3)
+            oprot.writeI32(self.ms_ago)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SoundPart(object):
+    """
+    Attributes:
+     - part_id
+     - ms_ago
+
+    """
+
+    __slots__ = (
+        'part_id',
+        'ms_ago',
+    )
+
+
+    def __init__(self, part_id=None, ms_ago=None,):
+        self.part_id = part_id
+        self.ms_ago = ms_ago
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.part_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.ms_ago = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SoundPart')
+        if self.part_id is not None:
+            oprot.writeFieldBegin('part_id', TType.STRING, 1)
+            oprot.writeString(self.part_id.encode('utf-8') if sys.version_info[0] == 2 else self.part_id)
+            oprot.writeFieldEnd()
+        if self.ms_ago is not None:
+            oprot.writeFieldBegin('ms_ago', TType.I32, 2)
+            oprot.writeI32(self.ms_ago)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class EndpointHealth(object):
     """
     Attributes:
@@ -558,6 +738,8 @@
      - endpoints_read_ms_ago
      - verdicts
      - doubtful
+     - prompt_crashes
+     - sound_parts
 
     """
 
@@ -581,10 +763,12 @@
         'endpoints_read_ms_ago',
         'verdicts',
         'doubtful',
+        'prompt_crashes',
+        'sound_parts',
     )
 
 
-    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None, doubtful=None,):
+    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None, doubtful=None, prompt_crashes=None, sound_parts=None,):
         self.node = node
         self.incarnation = incarnation
         self.sequence = sequence
@@ -604,6 +788,8 @@
         self.endpoints_read_ms_ago = endpoints_read_ms_ago
         self.verdicts = verdicts
         self.doubtful = doubtful
+        self.prompt_crashes = prompt_crashes
+        self.sound_parts = sound_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -672,53 +858,53 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = EndpointLoad()
-                        _elem5.read(iprot)
-                        self.loads.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = EndpointLoad()
+                        _elem12.read(iprot)
+                        self.loads.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype9, _size6) = iprot.readListBegin()
-                    for _i10 in range(_size6):
-                        _elem11 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem11)
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem18)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype15, _size12) = iprot.readListBegin()
-                    for _i16 in range(_size12):
-                        _elem17 = CrashMark()
-                        _elem17.read(iprot)
-                        self.crashes.append(_elem17)
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = CrashMark()
+                        _elem24.read(iprot)
+                        self.crashes.append(_elem24)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype21, _size18) = iprot.readListBegin()
-                    for _i22 in range(_size18):
-                        _elem23 = VersionCount()
-                        _elem23.read(iprot)
-                        self.versions.append(_elem23)
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = VersionCount()
+                        _elem30.read(iprot)
+                        self.versions.append(_elem30)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.known_hosts = []
-                    (_etype27, _size24) = iprot.readListBegin()
-                    for _i28 in range(_size24):
-                        _elem29 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known_hosts.append(_elem29)
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known_hosts.append(_elem36)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -730,22 +916,44 @@
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.verdicts = []
-                    (_etype33, _size30) = iprot.readListBegin()
-                    for _i34 in range(_size30):
-                        _elem35 = Verdict()
-                        _elem35.read(iprot)
-                        self.verdicts.append(_elem35)
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = Verdict()
+                        _elem42.read(iprot)
+                        self.verdicts.append(_elem42)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.doubtful = []
-                    (_etype39, _size36) = iprot.readListBegin()
-                    for _i40 in range(_size36):
-                        _elem41 = EndpointHealth()
-                        _elem41.read(iprot)
-                        self.doubtful.append(_elem41)
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = EndpointHealth()
+                        _elem48.read(iprot)
+                        self.doubtful.append(_elem48)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.LIST:
+                    self.prompt_crashes = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = PromptCrash()
+                        _elem54.read(iprot)
+                        self.prompt_crashes.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.LIST:
+                    self.sound_parts = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = SoundPart()
+                        _elem60.read(iprot)
+                        self.sound_parts.append(_elem60)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -806,36 +1014,36 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter42 in self.loads:
-                iter42.write(oprot)
+            for iter61 in self.loads:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter43 in self.leaving:
-                oprot.writeString(iter43.encode('utf-8') if sys.version_info[0] == 2 else iter43)
+            for iter62 in self.leaving:
+                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter44 in self.crashes:
-                iter44.write(oprot)
+            for iter63 in self.crashes:
+                iter63.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter45 in self.versions:
-                iter45.write(oprot)
+            for iter64 in self.versions:
+                iter64.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_hosts is not None:
             oprot.writeFieldBegin('known_hosts', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter46 in self.known_hosts:
-                oprot.writeString(iter46.encode('utf-8') if sys.version_info[0] == 2 else iter46)
+            for iter65 in self.known_hosts:
+                oprot.writeString(iter65.encode('utf-8') if sys.version_info[0] == 2 else iter65)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read_ms_ago is not None:
@@ -845,15 +1053,29 @@
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter47 in self.verdicts:
-                iter47.write(oprot)
+            for iter66 in self.verdicts:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.doubtful is not None:
             oprot.writeFieldBegin('doubtful', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.doubtful))
-            for iter48 in self.doubtful:
-                iter48.write(oprot)
+            for iter67 in self.doubtful:
+                iter67.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.prompt_crashes is not None:
+            oprot.writeFieldBegin('prompt_crashes', TType.LIST, 20)
+            oprot.writeListBegin(TType.STRUCT, len(self.prompt_crashes))
+            for iter68 in self.prompt_crashes:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.sound_parts is not None:
+            oprot.writeFieldBegin('sound_parts', TType.LIST, 21)
+            oprot.writeListBegin(TType.STRUCT, len(self.sound_parts))
+            for iter69 in self.sound_parts:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -932,11 +1154,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = EndpointLoad()
-                        _elem54.read(iprot)
-                        self.loads.append(_elem54)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = EndpointLoad()
+                        _elem75.read(iprot)
+                        self.loads.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -965,8 +1187,8 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter55 in self.loads:
-                iter55.write(oprot)
+            for iter76 in self.loads:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1147,11 +1369,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = Row()
-                        _elem61.read(iprot)
-                        self.rows.append(_elem61)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = Row()
+                        _elem82.read(iprot)
+                        self.rows.append(_elem82)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1186,8 +1408,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter62 in self.rows:
-                iter62.write(oprot)
+            for iter83 in self.rows:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1253,11 +1475,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.known_versions = {}
-                    (_ktype64, _vtype65, _size63) = iprot.readMapBegin()
-                    for _i67 in range(_size63):
-                        _key68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val69 = iprot.readI64()
-                        self.known_versions[_key68] = _val69
+                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
+                    for _i88 in range(_size84):
+                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val90 = iprot.readI64()
+                        self.known_versions[_key89] = _val90
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1279,9 +1501,9 @@
         if self.known_versions is not None:
             oprot.writeFieldBegin('known_versions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.known_versions))
-            for kiter70, viter71 in self.known_versions.items():
-                oprot.writeString(kiter70.encode('utf-8') if sys.version_info[0] == 2 else kiter70)
-                oprot.writeI64(viter71)
+            for kiter91, viter92 in self.known_versions.items():
+                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
+                oprot.writeI64(viter92)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.accepts_compression is not None:
@@ -1343,11 +1565,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = Table()
-                        _elem77.read(iprot)
-                        self.tables.append(_elem77)
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = Table()
+                        _elem98.read(iprot)
+                        self.tables.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1369,8 +1591,8 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter78 in self.tables:
-                iter78.write(oprot)
+            for iter99 in self.tables:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_busy is not None:
@@ -1415,6 +1637,19 @@
     (1, TType.STRING, 'fingerprint', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 2
 )
+all_structs.append(PromptCrash)
+PromptCrash.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'part_ids', (TType.STRING, 'UTF8', False), None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'ms_ago', None, None, ),  # 3
+)
+all_structs.append(SoundPart)
+SoundPart.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'part_id', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'ms_ago', None, None, ),  # 2
+)
 all_structs.append(EndpointHealth)
 EndpointHealth.thrift_spec = (
     None,  # 0
@@ -1462,6 +1697,8 @@
     (17, TType.I32, 'endpoints_read_ms_ago', None, None, ),  # 17
     (18, TType.LIST, 'verdicts', (TType.STRUCT, [Verdict, None], False), None, ),  # 18
     (19, TType.LIST, 'doubtful', (TType.STRUCT, [EndpointHealth, None], False), None, ),  # 19
+    (20, TType.LIST, 'prompt_crashes', (TType.STRUCT, [PromptCrash, None], False), None, ),  # 20
+    (21, TType.LIST, 'sound_parts', (TType.STRUCT, [SoundPart, None], False), None, ),  # 21
 )
 all_structs.append(LoadChange)
 LoadChange.thrift_spec = (
--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -12,6 +12,8 @@
 from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.http import client
+from dandelionlead.routing import calls
+from dandelionlead.routing import crashes
 from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import scheduling
@@ -45,27 +47,20 @@
         self._log = log
         self._endpoint_ids_in_check: set[str] = set()
 
-    def record_broken_connection(
-        self, fingerprint: str, endpoint: model.Endpoint
-    ) -> None:
-        """Records a broken connection and starts a check in the background.
-
-        Args:
-            fingerprint: Fingerprint of the request that the connection carried.
-            endpoint: The endpoint. Nothing is recorded for a leaving endpoint,
-                since its connections are expected to break.
-        """
+    def start_check(self, endpoint: model.Endpoint) -> None:
+        """Starts a check in the background after a connection broke."""
         endpoint_id = endpoint.endpoint_id
-        if self._view.is_leaving(endpoint_id):
-            return
-        now_s = clock.boottime()
-        self._scheduler.crash_tracker.record_broken_connection(
-            fingerprint, endpoint_id, now_s
-        )
         if endpoint_id not in self._endpoint_ids_in_check:
             self._endpoint_ids_in_check.add(endpoint_id)
             eventlet.spawn_n(self._check, endpoint)
 
+    def is_crash_possible(self, endpoint: model.Endpoint) -> bool:
+        """Whether a broken connection to an endpoint may indicate a crash.
+
+        The connections of a leaving endpoint are expected to break.
+        """
+        return not self._view.is_leaving(endpoint.endpoint_id)
+
     def _check(self, endpoint: model.Endpoint) -> None:
         """Tries to connect twice; records a crash if an attempt fails."""
         try:
@@ -89,3 +84,77 @@
             reason=conn.reason,
         )
         return True
+
+
+class RequestCrashes:
+    """Evidence on whether one request crashes the endpoints that run it.
+
+    The request itself may do so, and so may a part of its prompt. The last part
+    belongs to the request alone or to its session, and is never suspected.
+
+    Args:
+        detector: Checks the endpoints whose connections broke.
+        scheduler: Records the evidence.
+        admitted: The request.
+    """
+
+    def __init__(
+        self,
+        detector: CrashDetector,
+        scheduler: scheduling.Scheduler,
+        admitted: calls.AdmittedCall,
+    ) -> None:
+        self._detector = detector
+        self._request_tracker = scheduler.crash_tracker
+        self._prompt_tracker = scheduler.prompt_crash_tracker
+        self._fingerprint = crashes.compute_fingerprint(admitted)
+        self._part_ids = tuple(
+            part_id for part_id, _ in admitted.call.prompt_parts[:-1]
+        )
+        self._has_event = False
+
+    def record_broken_connection(self, endpoint: model.Endpoint) -> None:
+        """Records that an endpoint's connection broke with the request."""
+        if not self._detector.is_crash_possible(endpoint):
+            return
+        now_s = clock.boottime()
+        self._request_tracker.record_broken_connection(
+            self._fingerprint, endpoint.endpoint_id, now_s
+        )
+        if not self._has_event:
+            self._prompt_tracker.record_broken_connection(
+                self._part_ids, endpoint.incarnation, now_s
+            )
+        self._detector.start_check(endpoint)
+
+    def record_first_event(self) -> None:
+        """Records that an engine has begun to answer the prompt."""
+        self._has_event = True
+        self._prompt_tracker.record_sound(self._part_ids, clock.boottime())
+
+    def record_completed(self) -> None:
+        """Records that an endpoint has responded to the request."""
+        self._request_tracker.record_completed(
+            self._fingerprint, clock.boottime()
+        )
+
+    def find_failure(self) -> errors.Failure | None:
+        """Returns why the request must not be sent to an endpoint, or None.
+
+        A request that an engine has begun to answer may be resumed in any case.
+        """
+        if self._has_event:
+            return None
+        now_s = clock.boottime()
+        if self._request_tracker.is_quarantined(self._fingerprint, now_s):
+            return errors.Failure(
+                errors.Kind.REQUEST_QUARANTINED,
+                "too many endpoints crashed while they ran this request",
+            )
+        part_id = self._prompt_tracker.find_quarantined(self._part_ids, now_s)
+        if part_id is None:
+            return None
+        return errors.Failure(
+            errors.Kind.REQUEST_QUARANTINED,
+            f"too many engines crashed that answered the prompt part {part_id}",
+        )
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -22,7 +22,6 @@
 from dandelionlead.http import server
 from dandelionlead.routing import attempt_timeout
 from dandelionlead.routing import calls
-from dandelionlead.routing import crashes
 from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import scheduling
@@ -117,7 +116,9 @@
         self._held_response: tuple[calls.EndpointResponseHead, bytes] | None = (
             None
         )
-        self._fingerprint = crashes.compute_fingerprint(admitted)
+        self._crashes = crash_detection.RequestCrashes(
+            deps.crash_detector, deps.scheduler, admitted
+        )
 
     def serve(self) -> None:
         """Sends the call to endpoints and writes the caller's response.
@@ -185,13 +186,7 @@
         scheduler = self._deps.scheduler
         scheduler.count_request(self._admitted, clock.boottime())
         for _ in range(_MAX_ATTEMPTS):
-            if scheduler.crash_tracker.is_quarantined(
-                self._fingerprint, clock.boottime()
-            ):
-                self._failure = errors.Failure(
-                    errors.Kind.REQUEST_QUARANTINED,
-                    "too many endpoints crashed while they ran this request",
-                )
+            if self._is_quarantined():
                 return False
             if self._try_next_endpoint():
                 return True
@@ -199,6 +194,14 @@
                 return False
         return False
 
+    def _is_quarantined(self) -> bool:
+        """Records the failure and returns True if the call must not be sent."""
+        failure = self._crashes.find_failure()
+        if failure is None:
+            return False
+        self._failure = failure
+        return True
+
     def _try_next_endpoint(self) -> bool:
         """Tries one more endpoint; returns whether a response was completed."""
         deps = self._deps
@@ -214,6 +217,9 @@
             if self._failure is None:
                 self._failure = self._make_no_endpoint_failure()
             return False
+        # Further endpoints may have crashed while the call waited for room.
+        if self._is_quarantined():
+            return False
         if self._tried_ids and not deps.scheduler.try_consume_retry(
             admitted.service.name, now_s
         ):
@@ -313,9 +319,7 @@
             deps.scheduler.health_tracker.record_unreachable(
                 endpoint.endpoint_id, now_s
             )
-            deps.crash_detector.record_broken_connection(
-                self._fingerprint, endpoint
-            )
+            self._crashes.record_broken_connection(endpoint)
         self._failure = failure
         self._possible_run_count += (
             failure.run_state is not errors.RunState.NOT_RUN
@@ -375,6 +379,7 @@
             deps.log,
             run,
             self._response_writer,
+            self._crashes,
         )
         self._status = response.head.status
         self._outcome = stream_relay.outcome
@@ -392,16 +397,15 @@
             deps.scheduler.health_tracker.record_response(
                 run.endpoint.endpoint_id, now_s, failed=False
             )
-            deps.scheduler.crash_tracker.record_completed(
-                self._fingerprint, now_s
-            )
+            self._crashes.record_completed()
             return True
         self._failure = outcome.failure
         self._possible_run_count += 1
-        if outcome.failure.kind is errors.Kind.ENDPOINT_FAILED:
-            deps.crash_detector.record_broken_connection(
-                self._fingerprint, run.endpoint
-            )
+        if (
+            outcome.event_count
+            and outcome.failure.kind is errors.Kind.ENDPOINT_FAILED
+        ):
+            self._crashes.record_broken_connection(run.endpoint)
         return False
 
     def _forward_response(
@@ -432,7 +436,7 @@
         deps.scheduler.health_tracker.record_response(
             endpoint_id, now_s, failed=is_failed
         )
-        deps.scheduler.crash_tracker.record_completed(self._fingerprint, now_s)
+        self._crashes.record_completed()
         took_s = now_s - run.sent_s
         deps.scheduler.record_outcome(run.endpoint, took_s, failed=is_failed)
         if is_failed and self._should_retry_error_response(now_s):
--- a/libs/gateway/src/dandelionlead/gateway/heartbeats.py
+++ b/libs/gateway/src/dandelionlead/gateway/heartbeats.py
@@ -16,6 +16,7 @@
 from dandelionlead.gateway import serving
 from dandelionlead.routing import health
 from dandelionlead.routing import loads
+from dandelionlead.routing import prompt_crashes
 from dandelionlead.routing import rollouts
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import scheduling
@@ -163,6 +164,12 @@
             versions=self._encode_version_counts(),
             verdicts=self._encode_verdicts(),
             known_hosts=peer_transport.sample_hosts(state.peer_roster),
+            prompt_crashes=_encode_prompt_crashes(
+                state.scheduler.prompt_crash_tracker, now_s
+            ),
+            sound_parts=_encode_sound_parts(
+                state.scheduler.prompt_crash_tracker, now_s
+            ),
         )
 
     def build_load_change(self, endpoint_ids: set[str]) -> ttypes.LoadChange:
@@ -221,6 +228,11 @@
             ],
             now_s,
         )
+        process_state.scheduler.prompt_crash_tracker.add_peer_evidence(
+            _decode_prompt_crashes(heartbeat, now_s),
+            _decode_sound_parts(heartbeat, now_s),
+            now_s,
+        )
         for endpoint_id in heartbeat.leaving:
             process_state.view.mark_leaving(endpoint_id)
         if (
@@ -302,6 +314,52 @@
     }
 
 
+def _encode_prompt_crashes(
+    tracker: prompt_crashes.PromptCrashTracker, now_s: float
+) -> list[ttypes.PromptCrash]:
+    """Converts the crashes that are shared with peers."""
+    return [
+        ttypes.PromptCrash(
+            list(crash.part_ids),
+            crash.incarnation,
+            _ms_since(crash.crashed_s, now_s),
+        )
+        for crash in tracker.list_shared_crashes(now_s)
+    ]
+
+
+def _encode_sound_parts(
+    tracker: prompt_crashes.PromptCrashTracker, now_s: float
+) -> list[ttypes.SoundPart]:
+    """Converts the sound parts that are shared with peers."""
+    return [
+        ttypes.SoundPart(item.part_id, _ms_since(item.sound_s, now_s))
+        for item in tracker.list_shared_sound_parts(now_s)
+    ]
+
+
+def _decode_prompt_crashes(
+    heartbeat: ttypes.Heartbeat, now_s: float
+) -> list[prompt_crashes.PromptCrash]:
+    """Converts a peer's crashes; a peer of an older build sends none."""
+    return [
+        prompt_crashes.PromptCrash(
+            tuple(item.part_ids), item.incarnation, now_s - item.ms_ago / 1e3
+        )
+        for item in heartbeat.prompt_crashes or ()
+    ]
+
+
+def _decode_sound_parts(
+    heartbeat: ttypes.Heartbeat, now_s: float
+) -> list[prompt_crashes.SoundPart]:
+    """Converts a peer's sound parts; a peer of an older build sends none."""
+    return [
+        prompt_crashes.SoundPart(item.part_id, now_s - item.ms_ago / 1e3)
+        for item in heartbeat.sound_parts or ()
+    ]
+
+
 def _ms_since(instant_s: float, now_s: float) -> int:
     """Returns the milliseconds since an instant; -1 for minus infinity."""
     return -1 if instant_s == float("-inf") else int((now_s - instant_s) * 1e3)
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -12,6 +12,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
+from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sending
 from dandelionlead.gateway import supervisor
@@ -90,6 +91,7 @@
         log: Receives one line for each resumption and each lost run.
         run: The generation; its call has been sent to `run.endpoint`.
         response_writer: Writes the response to the caller.
+        request_crashes: Receives evidence on whether the call crashes engines.
 
     Attributes:
         outcome: Progress of the generation so far.
@@ -103,6 +105,7 @@
         log: events.Log,
         run: runs.Run,
         response_writer: server.ResponseWriter,
+        request_crashes: crash_detection.RequestCrashes,
     ) -> None:
         self._sender = sender
         self._scheduler = scheduler
@@ -110,6 +113,7 @@
         self._log = log
         self._run = run
         self._response_writer = response_writer
+        self._request_crashes = request_crashes
         self._splitter = sse.EventSplitter(run.admitted.call.last_event_id)
         self._must_check_order = False
         # Ids of the engines whose responses broke off or that could not resume
@@ -149,6 +153,13 @@
                     self.outcome.is_complete = True
                     return self.outcome
                 ended_response.close()
+                if (
+                    failure.kind is errors.Kind.ENDPOINT_FAILED
+                    and not self._response_writer.has_started
+                ):
+                    self._request_crashes.record_broken_connection(
+                        ended_response.endpoint
+                    )
                 cache_location = self._describe_cache_location()
                 current_response = self._resume(failure)
                 if (
@@ -249,6 +260,8 @@
                     "the resumed stream does not continue after the last"
                     " forwarded event",
                 )
+            if not self._response_writer.has_started:
+                self._request_crashes.record_first_event()
             self._start_response(head)
             self._write(complete_events)
 
@@ -360,6 +373,8 @@
         for _ in range(_MAX_RESUMPTIONS):
             if run.resumption_count >= _MAX_RESUMPTIONS:
                 return None
+            if self._request_crashes.find_failure() is not None:
+                return None
             response = (
                 self._resume_from_copy()
                 or self._resume_from_backup()
--- a/libs/gateway/src/dandelionlead/gateway/state_dump.py
+++ b/libs/gateway/src/dandelionlead/gateway/state_dump.py
@@ -62,6 +62,11 @@
                 }
                 for rollout in process_state.view.rollouts.list_all()
             ],
+            "quarantined_prompt_parts": (
+                process_state.scheduler.prompt_crash_tracker.list_quarantined(
+                    now_s
+                )
+            ),
             "endpoints": [
                 self._describe_endpoint(endpoint, now_s)
                 for endpoint in process_state.view.endpoints.values()
--- a/libs/routing/src/dandelionlead/routing/crashes.py
+++ b/libs/routing/src/dandelionlead/routing/crashes.py
@@ -12,7 +12,10 @@
 from __future__ import annotations
 
 import hashlib
+from collections.abc import Hashable
 from collections.abc import Iterable
+from typing import Generic
+from typing import TypeVar
 
 from dandelionlead.routing import calls
 
@@ -41,13 +44,40 @@
     return digest.hexdigest()
 
 
+_Suspect = TypeVar("_Suspect", bound=Hashable)
+
+
+class SuspectTable(Generic[_Suspect]):
+    """What may have crashed an endpoint, until it is found lost."""
+
+    def __init__(self) -> None:
+        # Times in seconds at which connections broke, by endpoint and then by
+        # suspect.
+        self._broken_s: dict[str, dict[_Suspect, float]] = {}
+
+    def add(self, suspect: _Suspect, endpoint_id: str, now_s: float) -> None:
+        """Records that a connection broke that carried the suspect."""
+        self._broken_s.setdefault(endpoint_id, {})[suspect] = now_s
+
+    def pop(self, endpoint_id: str, now_s: float) -> dict[_Suspect, float]:
+        """Removes and returns the suspects of an endpoint that was lost.
+
+        Returns:
+            Times in seconds at which the connections broke, by suspect; those
+            of the last `CRASH_CONFIRM_S` only.
+        """
+        return {
+            suspect: broken_s
+            for suspect, broken_s in self._broken_s.pop(endpoint_id, {}).items()
+            if now_s - broken_s <= CRASH_CONFIRM_S
+        }
+
+
 class CrashTracker:
     """Crashes by request, recorded by this process and its peers."""
 
     def __init__(self) -> None:
-        # Times in seconds at which connections broke, by endpoint id and then
-        # by fingerprint.
-        self._suspects: dict[str, dict[str, float]] = {}
+        self._suspects: SuspectTable[str] = SuspectTable()
         # Times in seconds of crashes, by pair of fingerprint and endpoint id.
         self._crashes: dict[tuple[str, str], float] = {}
         # Times in seconds at which requests completed, by fingerprint; the
@@ -58,7 +88,7 @@
         self, fingerprint: str, endpoint_id: str, now_s: float
     ) -> None:
         """Records that the connection of a request to an endpoint broke."""
-        self._suspects.setdefault(endpoint_id, {})[fingerprint] = now_s
+        self._suspects.add(fingerprint, endpoint_id, now_s)
 
     def record_endpoint_lost(self, endpoint_id: str, now_s: float) -> None:
         """Records that an endpoint was lost without a leaving notice.
@@ -66,11 +96,8 @@
         A crash is recorded for each request whose connection to the endpoint
         broke within the last `CRASH_CONFIRM_S`.
         """
-        for fingerprint, broken_s in self._suspects.pop(
-            endpoint_id, {}
-        ).items():
-            if now_s - broken_s <= CRASH_CONFIRM_S:
-                self._record_crash(fingerprint, endpoint_id, now_s)
+        for fingerprint in self._suspects.pop(endpoint_id, now_s):
+            self._record_crash(fingerprint, endpoint_id, now_s)
 
     def record_completed(self, fingerprint: str, now_s: float) -> None:
         """Records that a request completed, which removes its crashes."""
--- a/libs/routing/src/dandelionlead/routing/model.py
+++ b/libs/routing/src/dandelionlead/routing/model.py
@@ -267,6 +267,11 @@
         """IP address and TCP port."""
         return self.host, self.port
 
+    @property
+    def incarnation(self) -> str:
+        """Identifier of this start, also if the endpoint keeps its id."""
+        return f"{self.endpoint_id}@{self.started_unix_ms}"
+
     def differs_for_routing(self, other: Endpoint) -> bool:
         """Whether the address, service, draining state or start time differs.
 
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -20,6 +20,7 @@
 from dandelionlead.routing import model
 from dandelionlead.routing import policy
 from dandelionlead.routing import prefill_rate
+from dandelionlead.routing import prompt_crashes
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import shared_limits
 
@@ -94,6 +95,7 @@
         retry_budget: Budget of retries, which all processes share.
         prefill_rate: Rate at which engines read prompts.
         crash_tracker: Requests that crash endpoints.
+        prompt_crash_tracker: Parts of prompts that crash engines.
         operator_policy: Operator settings for the migration, backup and
             queueing of runs.
     """
@@ -112,6 +114,7 @@
         self.retry_budget = retry_budget
         self.prefill_rate = prefill_rate.PrefillRate()
         self.crash_tracker = crashes.CrashTracker()
+        self.prompt_crash_tracker = prompt_crashes.PromptCrashTracker()
         self._view = view
         self._membership = membership
         self._cold_rate_limit = shared_limits.ColdRateLimit()
@@ -254,11 +257,14 @@
     ) -> None:
         """Records that no connection to an endpoint could be opened.
 
-        This pauses the endpoint and records a crash for each request whose
-        connection to it broke shortly before.
+        This pauses the endpoint and records a crash for each request, and for
+        each part of a prompt, whose connection to it broke shortly before.
         """
         self.health_tracker.record_unreachable(endpoint.endpoint_id, now_s)
         self.crash_tracker.record_endpoint_lost(endpoint.endpoint_id, now_s)
+        self.prompt_crash_tracker.record_endpoint_lost(
+            endpoint.incarnation, now_s
+        )
 
     def count_sent(self, endpoint: model.Endpoint, now_s: float) -> None:
         """Counts a request that is about to be sent to an endpoint.
