Take a stream that ends inside an event as broken off

Callers would have received a truncated generation that looks complete.

Cause: an engine's body without a length and without chunks ends with its connection, so that its end is also what a crash looks like. The relay passed on the partial event and ended the caller's stream as complete. The same held for a stream without any event, and for a run that the final copy of its migration stops: the source closes the stream without its end.

Change: a body that ends inside an event is broken off. One that ends with its connection is also broken off if it has no event, or if the final copy was made; the run then resumes after the last whole event.

--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -241,13 +241,11 @@
             if isinstance(data, errors.Failure):
                 return data
             if data is client.BODY_END:
-                self._start_response(head)
-                if self._splitter.incomplete_event:
-                    self._response_writer.send_data(
-                        self._splitter.incomplete_event
-                    )
-                self._response_writer.end_response()
-                return None
+                failure = self._find_truncation(current_response)
+                if failure is None:
+                    self._start_response(head)
+                    self._response_writer.end_response()
+                return failure
             previous_id = self._splitter.last_event_id
             complete_events = self._splitter.feed(data)
             if not complete_events:
@@ -265,6 +263,30 @@
             self._start_response(head)
             self._write(complete_events)
 
+    def _find_truncation(
+        self, ended_response: sending.EndpointResponse
+    ) -> errors.Failure | None:
+        """Returns why a response that ended is incomplete; None if it is not.
+
+        A body that ends with the connection also ends so if the engine breaks
+        it off, or if the final copy for a migration stops the run.
+        """
+        if self._splitter.incomplete_event:
+            return errors.Failure(
+                errors.Kind.ENDPOINT_FAILED, "the stream ended inside an event"
+            )
+        if not ended_response.head.ends_with_connection:
+            return None
+        if not self._splitter.event_count:
+            return errors.Failure(
+                errors.Kind.ENDPOINT_FAILED, "the stream ended without an event"
+            )
+        if self._run.stop_event is not None and self._await_stop():
+            return errors.Failure(
+                errors.Kind.ENDPOINT_FAILED, "the run was stopped to migrate it"
+            )
+        return None
+
     def _is_next_event(self, complete_events: bytes, previous_id: int) -> bool:
         """Returns whether a resumed stream continues after an event id.
 
@@ -384,10 +406,15 @@
                 return response
         return None
 
-    def _await_stop(self) -> None:
-        """Waits for the response to the request for the final copy."""
+    def _await_stop(self) -> bool:
+        """Waits for the response to the request for the final copy.
+
+        Returns:
+            Whether the final copy was made, which stopped the run.
+        """
         with eventlet.Timeout(_STOP_TIMEOUT_S, False):
-            self._run.stop_event.wait()
+            return self._run.stop_event.wait() == 200
+        return False
 
     def _may_resume_again(self) -> bool:
         """Returns whether to try again after a failed resumption."""
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -11,14 +11,19 @@
 import unittest
 
 import eventlet
+import eventlet.event
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.core import hashing
+from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import evacuation
+from dandelionlead.gateway import relay
 from dandelionlead.gateway import runs
+from dandelionlead.gateway import sending
 from dandelionlead.gateway import supervisor
+from dandelionlead.http import client
 from dandelionlead.routing import calls
 from dandelionlead.routing import loads
 from dandelionlead.routing import model
@@ -68,6 +73,40 @@
             return 503, b""
         return 200, b"copied"
 
+    def return_conn(self, response):
+        response.is_pooled = True
+
+
+class _FakeConn:
+    """Returns the parts of a response body, and then its end."""
+
+    def __init__(self, *parts: bytes) -> None:
+        self._parts = [*parts, client.BODY_END]
+
+    def read_body_part(self, deadline_s):
+        return self._parts.pop(0)
+
+    def close(self):
+        pass
+
+
+class _FakeResponseWriter:
+    """Records the response to the caller."""
+
+    def __init__(self) -> None:
+        self.has_started = False
+        self.has_ended = False
+        self.body = b""
+
+    def start_response(self, status, headers):
+        self.has_started = True
+
+    def send_data(self, data):
+        self.body += data
+
+    def end_response(self):
+        self.has_ended = True
+
 
 class _SupervisorCase(unittest.TestCase):
     def setUp(self) -> None:
@@ -355,6 +394,61 @@
         self.assertEqual(self.sender.requests, [])
 
 
+class StoppedStreamTest(_SupervisorCase):
+    """Guards against a stream that was stopped for its migration.
+
+    A stream that ends with its connection looks complete then, although the
+    rest of it comes from another engine.
+    """
+
+    def test_stream_stopped_by_its_final_copy_is_not_complete(self) -> None:
+        # Status of the final copy (404: the run had ended, 0: no response),
+        # whether the body ends with its connection, whether it is complete.
+        cases = (
+            (200, True, False),
+            (404, True, True),
+            (0, True, True),
+            (200, False, True),
+        )
+        for copy_status, ends_with_connection, is_complete in cases:
+            with self.subTest(copy_status, ends=ends_with_connection):
+                run = self.start_run("e0")
+                run.stop_event = eventlet.event.Event()
+                eventlet.spawn_after(0.02, run.stop_event.send, copy_status)
+                writer = _FakeResponseWriter()
+                outcome = self._relay(run, writer, ends_with_connection)
+                self.assertEqual(outcome.is_complete, is_complete)
+                self.assertEqual(writer.has_ended, is_complete)
+                self.assertEqual(writer.body, b"id: 1\ndata: a\n\n")
+
+    def _relay(
+        self,
+        run: runs.Run,
+        writer: _FakeResponseWriter,
+        ends_with_connection: bool,
+    ) -> relay.Outcome:
+        log = events.Log("test")
+        detector = crash_detection.CrashDetector(self.scheduler, self.view, log)
+        stream_relay = relay.Relay(
+            self.sender,
+            self.scheduler,
+            self.supervisor,
+            log,
+            run,
+            writer,
+            crash_detection.RequestCrashes(
+                detector, self.scheduler, run.admitted
+            ),
+        )
+        head = calls.EndpointResponseHead(
+            200, [], ends_with_connection=ends_with_connection
+        )
+        conn = _FakeConn(b"id: 1\ndata: a\n\n")
+        return stream_relay.forward_stream(
+            sending.EndpointResponse(run.endpoint, conn, head)
+        )
+
+
 class FailureTest(_SupervisorCase):
     """Guards against a busy loop while all copy requests to an engine fail.
 
--- a/libs/routing/src/dandelionlead/routing/calls.py
+++ b/libs/routing/src/dandelionlead/routing/calls.py
@@ -189,6 +189,8 @@
             response.
         keep_alive_timeout_s: Time in seconds for which the endpoint keeps an
             idle connection open; 0 if the response does not state it.
+        ends_with_connection: Whether the body ends when the endpoint closes the
+            connection, instead of at a length or an end mark.
     """
 
     __slots__ = (
@@ -199,6 +201,7 @@
         "is_other_instance",
         "closes_connection",
         "keep_alive_timeout_s",
+        "ends_with_connection",
         "headers",
     )
 
@@ -213,6 +216,7 @@
         is_other_instance: bool = False,
         closes_connection: bool = False,
         keep_alive_timeout_s: float = 0.0,
+        ends_with_connection: bool = False,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -222,6 +226,7 @@
         self.is_other_instance = is_other_instance
         self.closes_connection = closes_connection
         self.keep_alive_timeout_s = keep_alive_timeout_s
+        self.ends_with_connection = ends_with_connection
 
 
 class MemoryCopy:
