Cut off responses without end, and serve other calls meanwhile

Cause: a socket that always has bytes never makes a read wait, so the green thread that reads it never yields. The limits covered the sizes of heads and plain bodies only: not the number of interim responses, of parts of a body, the size of an event, or the number of events.

Change: the client lets other green threads run after 64 parser events, takes 8 interim responses and 8,192 parts of a body; the relay takes events of up to 32 kB, and up to 1,000 events more than output tokens.

Not shown failing: the pause of other green threads, which stayed under its bound for the other cases on this machine.

--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -39,6 +39,11 @@
 _STOP_TIMEOUT_S = 1.0
 # Longest wait for the response head of an engine that resumes a run.
 _RESUME_TIMEOUT_S = 1.5
+# Largest event. More bytes without the end of an event are no event.
+_MAX_EVENT_BYTES = 32_768
+# Number of events that a stream may have beyond one for each output token, for
+# events without a token.
+_MAX_ADDITIONAL_EVENTS = 1_000
 # Limit on the attempts to resume one run.
 _MAX_RESUMPTIONS = 12
 
@@ -116,6 +121,7 @@
         self._request_crashes = request_crashes
         self._splitter = sse.EventSplitter(run.admitted.call.last_event_id)
         self._must_check_order = False
+        self._received_event_count = 0
         # Ids of the engines whose responses broke off or that could not resume
         # the run. No new run is started on them.
         self._failed_ids: set[str] = set()
@@ -248,6 +254,9 @@
                 return failure
             previous_id = self._splitter.last_event_id
             complete_events = self._splitter.feed(data)
+            failure = self._find_excess(complete_events)
+            if failure is not None:
+                return failure
             if not complete_events:
                 continue
             if self._must_check_order and not self._is_next_event(
@@ -263,6 +272,26 @@
             self._start_response(head)
             self._write(complete_events)
 
+    def _find_excess(self, complete_events: bytes) -> errors.Failure | None:
+        """Returns why the bytes that arrived are no stream of events, or None.
+
+        A faulty engine may send bytes without end.
+        """
+        if len(self._splitter.incomplete_event) > _MAX_EVENT_BYTES:
+            return errors.Failure(
+                errors.Kind.ENDPOINT_FAILED, "an event exceeds the size limit"
+            )
+        self._received_event_count += complete_events.count(sse.EVENT_END)
+        max_output_tokens = self._run.admitted.call.max_output_tokens
+        if max_output_tokens and self._received_event_count > (
+            max_output_tokens + _MAX_ADDITIONAL_EVENTS
+        ):
+            return errors.Failure(
+                errors.Kind.ENDPOINT_FAILED,
+                "the stream has more events than output tokens",
+            )
+        return None
+
     def _find_truncation(
         self, ended_response: sending.EndpointResponse
     ) -> errors.Failure | None:
--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 
+import eventlet
 import eventlet.green.socket as green_socket
 import eventlet.hubs as hubs
 import h11
@@ -21,6 +22,14 @@
 
 _RECV_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
+# Maximum number of 1xx responses before a response.
+_MAX_INTERIM_RESPONSES = 8
+# Maximum number of parts in which a body may arrive. More take too much
+# processor time, even if they are small.
+_MAX_BODY_PARTS = 8_192
+# Number of parser events after which other green threads run, because a peer
+# that sends without end never makes a read wait.
+_EVENTS_PER_YIELD = 64
 # Largest body of a response to an earlier request that `skip_response` reads.
 _MAX_STALE_BODY_BYTES = 1_048_576
 # The kernel closes a connection whose sent data stay unacknowledged this long.
@@ -128,6 +137,7 @@
         "_sock",
         "_http",
         "_closed",
+        "_events_since_yield",
     )
 
     def __init__(
@@ -143,6 +153,7 @@
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
         self._closed = False
+        self._events_since_yield = 0
 
     def send_request(
         self,
@@ -193,7 +204,7 @@
         Returns:
             The head, or the failure.
         """
-        while True:
+        for _ in range(_MAX_INTERIM_RESPONSES + 1):
             event = self._next_event(deadline_s)
             if isinstance(event, errors.Failure):
                 return event
@@ -204,6 +215,7 @@
             return _endpoint_failed(
                 "the peer closed the connection before a response"
             )
+        return _endpoint_failed("the peer sent too many interim responses")
 
     def read_body_part(
         self, deadline_s: float
@@ -242,7 +254,7 @@
         """
         chunks: list[bytes] = []
         size = 0
-        while True:
+        for _ in range(_MAX_BODY_PARTS + 1):
             data = self.read_body_part(deadline_s)
             if data is BODY_END:
                 return b"".join(chunks)
@@ -254,6 +266,7 @@
                     "the response body exceeds the size limit"
                 )
             chunks.append(data)
+        return _endpoint_failed("the response body has too many parts")
 
     def request(
         self,
@@ -383,11 +396,19 @@
             except h11.RemoteProtocolError as exc:
                 return _endpoint_failed(f"the response is not valid: {exc}")
             if event is not h11.NEED_DATA:
+                self._count_event()
                 return event
             failure = self._receive(deadline_s)
             if failure is not None:
                 return failure
 
+    def _count_event(self) -> None:
+        """Lets other green threads run after every `_EVENTS_PER_YIELD`."""
+        self._events_since_yield += 1
+        if self._events_since_yield >= _EVENTS_PER_YIELD:
+            self._events_since_yield = 0
+            eventlet.sleep(0)
+
     def _receive(self, deadline_s: float) -> errors.Failure | None:
         """Reads bytes from the socket and passes them to the parser."""
         remaining_s = deadline_s - clock.boottime()
--- a/libs/http/src/dandelionlead/http/sse.py
+++ b/libs/http/src/dandelionlead/http/sse.py
@@ -4,7 +4,8 @@
 
 import re
 
-_EVENT_END = b"\n\n"
+# Marks the end of an event.
+EVENT_END = b"\n\n"
 _ID_LINE = re.compile(rb"^id: ?(\d+)\r?$", re.MULTILINE)
 
 
@@ -44,8 +45,8 @@
         """
         if self._incomplete:
             data = self._incomplete + data
-        end = data.rfind(_EVENT_END) + len(_EVENT_END)
-        if end < len(_EVENT_END):
+        end = data.rfind(EVENT_END) + len(EVENT_END)
+        if end < len(EVENT_END):
             self._incomplete = data
             return b""
         self._incomplete = data[end:]
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -6,17 +6,21 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 import unittest
 
 import eventlet
 import eventlet.green.socket as green_socket
+import eventlet.patcher
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.http import client
 
+_socket = eventlet.patcher.original("socket")
+_threading = eventlet.patcher.original("threading")
 _TIMEOUT_S = 2.0
 _COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole"
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -77,6 +81,99 @@
     return conn, head, conn.read_body(deadline_s, 1_000_000)
 
 
+class _EndlessEndpoint:
+    """Sends a head and then the same bytes until the client closes.
+
+    It sends from a thread, so that the client always finds bytes to read.
+
+    Attributes:
+        address: IP address and port that the endpoint listens on.
+        sent_byte_count: Number of bytes that were sent.
+        has_ended: Whether the client has closed the connection.
+    """
+
+    def __init__(self, head: bytes, repeated: bytes) -> None:
+        self._head = head
+        self._repeated = repeated * (65_536 // len(repeated) + 1)
+        self._sock = _socket.socket()
+        self._sock.bind(("127.0.0.1", 0))
+        self._sock.listen(1)
+        self.address = self._sock.getsockname()
+        self.sent_byte_count = 0
+        self.has_ended = False
+        self._thread = _threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def _serve(self) -> None:
+        conn, _ = self._sock.accept()
+        conn.recv(65_536)
+        with contextlib.suppress(OSError):
+            conn.sendall(self._head)
+            while True:
+                self.sent_byte_count += conn.send(self._repeated)
+        conn.close()
+        self.has_ended = True
+
+    def close(self) -> None:
+        self._sock.close()
+        self._thread.join(2.0)
+
+
+class EndlessResponseTest(unittest.TestCase):
+    """Guards against bytes without end, which are no response.
+
+    They must be cut off early, and other requests of the process must be served
+    while they arrive.
+    """
+
+    MAX_BYTES = 16_777_216
+    # A stream of tokens may pause for 180 ms.
+    MAX_PAUSE_S = 0.15
+
+    CASES = (
+        ("head", b"HTTP/1.1 200 OK\r\n", b"x"),
+        ("headers", b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n"),
+        ("interim responses", b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
+        ("body", b"HTTP/1.1 200 OK\r\n\r\n", b"x"),
+        (
+            "chunks",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n",
+        ),
+        (
+            "chunk size",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"0",
+        ),
+    )
+
+    def test_endless_bytes_are_cut_off_and_do_not_block_the_loop(self) -> None:
+        for name, head, repeated in self.CASES:
+            with self.subTest(name):
+                endpoint = _EndlessEndpoint(head, repeated)
+                pauses_s = [0.0]
+                ticker = eventlet.spawn(self._measure_pauses, pauses_s)
+                started_s = clock.boottime()
+                conn, read_head, body = _request(endpoint)
+                took_s = clock.boottime() - started_s
+                conn.close(reset=True)
+                ticker.kill()
+                endpoint.close()
+                last = read_head if body is None else body
+                self.assertIsInstance(last, errors.Failure)
+                self.assertIs(last.kind, errors.Kind.ENDPOINT_FAILED)
+                self.assertLess(took_s, _TIMEOUT_S)
+                self.assertTrue(endpoint.has_ended)
+                self.assertLess(endpoint.sent_byte_count, self.MAX_BYTES)
+                self.assertLess(max(pauses_s), self.MAX_PAUSE_S)
+
+    def _measure_pauses(self, pauses_s: list[float]) -> None:
+        while True:
+            started_s = clock.boottime()
+            eventlet.sleep(0.005)
+            pauses_s.append(clock.boottime() - started_s)
+
+
 class IncompleteResponseTest(unittest.TestCase):
     """Guards against an incomplete response that is treated as complete.
 
