Compare the logarithms of durations for the verdict on a version

Cause: a version counted as slow if its mean duration exceeded 2.5 times that of the old version plus 50 ms. For calls of 20 ms the margin is larger than the slowdown.

Evidence: rollout_settled state=completed new=8/50 old=38/253 new_mean_ms=97 old_mean_ms=41, against a limit of 152 ms. Ruled out: too few calls (50 had ended), failures (fewer than those of the old version).

Change: besides, the geometric means of successful calls are compared: slow from a factor of 1.6 on, if the difference exceeds three standard errors, two when the verdict is due. The sums of logarithms and of their squares are shared in heartbeats, in optional fields.

--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -64,6 +64,11 @@
   6: i32 failures
   // Sum of the durations of the ended calls in seconds.
   7: double total_s
+  // Calls that ended with success, the sum of the natural logarithms of their
+  // durations in seconds, and the sum of the squares of these logarithms.
+  8: i32 timed
+  9: double log_total
+  10: double log_square_total
 }
 
 // The final state of a rollout, as it is written to the store.
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -494,6 +494,9 @@
      - answers
      - failures
      - total_s
+     - timed
+     - log_total
+     - log_square_total
 
     """
 
@@ -505,10 +508,13 @@
         'answers',
         'failures',
         'total_s',
+        'timed',
+        'log_total',
+        'log_square_total',
     )
 
 
-    def __init__(self, service_name=None, order_version=None, is_new=None, sent=None, answers=None, failures=None, total_s=None,):
+    def __init__(self, service_name=None, order_version=None, is_new=None, sent=None, answers=None, failures=None, total_s=None, timed=None, log_total=None, log_square_total=None,):
         self.service_name = service_name
         self.order_version = order_version
         self.is_new = is_new
@@ -516,6 +522,9 @@
         self.answers = answers
         self.failures = failures
         self.total_s = total_s
+        self.timed = timed
+        self.log_total = log_total
+        self.log_square_total = log_square_total
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -561,6 +570,21 @@
                     self.total_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.timed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.DOUBLE:
+                    self.log_total = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.DOUBLE:
+                    self.log_square_total = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -599,6 +623,18 @@
             oprot.writeFieldBegin('total_s', TType.DOUBLE, 7)
             oprot.writeDouble(self.total_s)
             oprot.writeFieldEnd()
+        if self.timed is not None:
+            oprot.writeFieldBegin('timed', TType.I32, 8)
+            oprot.writeI32(self.timed)
+            oprot.writeFieldEnd()
+        if self.log_total is not None:
+            oprot.writeFieldBegin('log_total', TType.DOUBLE, 9)
+            oprot.writeDouble(self.log_total)
+            oprot.writeFieldEnd()
+        if self.log_square_total is not None:
+            oprot.writeFieldBegin('log_square_total', TType.DOUBLE, 10)
+            oprot.writeDouble(self.log_square_total)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1667,6 +1703,9 @@
     (5, TType.I32, 'answers', None, None, ),  # 5
     (6, TType.I32, 'failures', None, None, ),  # 6
     (7, TType.DOUBLE, 'total_s', None, None, ),  # 7
+    (8, TType.I32, 'timed', None, None, ),  # 8
+    (9, TType.DOUBLE, 'log_total', None, None, ),  # 9
+    (10, TType.DOUBLE, 'log_square_total', None, None, ),  # 10
 )
 all_structs.append(Verdict)
 Verdict.thrift_spec = (
--- a/libs/gateway/src/dandelionlead/gateway/heartbeats.py
+++ b/libs/gateway/src/dandelionlead/gateway/heartbeats.py
@@ -253,6 +253,9 @@
                 count.ended_count,
                 count.failure_count,
                 count.total_s,
+                count.durations.count,
+                count.durations.total,
+                count.durations.square_total,
             )
             for rollout in self._process_state.view.rollouts.list_all()
             for is_new, count in rollout.own_counts.items()
@@ -276,7 +279,11 @@
         for rollout in rollout_registry.list_all():
             counts = {
                 item.is_new: rollouts.CallCounts(
-                    item.sent, item.answers, item.failures, item.total_s
+                    item.sent,
+                    item.answers,
+                    item.failures,
+                    item.total_s,
+                    _decode_durations(item),
                 )
                 for item in heartbeat.versions
                 if item.service_name == rollout.order.service
@@ -360,6 +367,13 @@
     ]
 
 
+def _decode_durations(item: ttypes.VersionCount) -> rollouts.LogDurations:
+    """Converts a peer's durations; a peer of an older build sends none."""
+    return rollouts.LogDurations(
+        item.timed or 0, item.log_total or 0.0, item.log_square_total or 0.0
+    )
+
+
 def _ms_since(instant_s: float, now_s: float) -> int:
     """Returns the milliseconds since an instant; -1 for minus infinity."""
     return -1 if instant_s == float("-inf") else int((now_s - instant_s) * 1e3)
--- a/libs/routing/src/dandelionlead/routing/rollouts.py
+++ b/libs/routing/src/dandelionlead/routing/rollouts.py
@@ -11,6 +11,7 @@
 
 import collections
 import enum
+import math
 import random
 from collections.abc import Iterable
 
@@ -52,6 +53,15 @@
 _SLOW_FACTOR = 2.5
 _MIN_TIMED_CALLS = 8
 _SLOW_MARGIN_S = 0.05
+# A version is also slow if the geometric mean duration of its successful calls
+# exceeds that of the old version by this factor, and if the difference of the
+# mean logarithms exceeds its standard error by a second factor. The second one
+# is lower when the verdict is due, since the counts are compared once then.
+_SLOW_GEOMETRIC_FACTOR = 1.6
+_MIN_STANDARD_ERRORS = 3.0
+_MIN_STANDARD_ERRORS_WHEN_DUE = 2.0
+# Shortest duration that is told apart from shorter ones.
+_MIN_DURATION_S = 0.001
 
 
 class RolloutState(enum.Enum):
@@ -62,6 +72,49 @@
     ROLLED_BACK = "rolled_back"
 
 
+class LogDurations:
+    """Statistics of the logarithms of durations in seconds.
+
+    The logarithm makes the statistics independent of how long the calls of a
+    service take, and of single calls that take very long.
+
+    Attributes:
+        count: Number of durations.
+        total: Sum of the natural logarithms.
+        square_total: Sum of the squares of the natural logarithms.
+    """
+
+    __slots__ = ("count", "total", "square_total")
+
+    def __init__(
+        self, count: int = 0, total: float = 0.0, square_total: float = 0.0
+    ) -> None:
+        self.count = count
+        self.total = total
+        self.square_total = square_total
+
+    def record(self, duration_s: float) -> None:
+        """Adds a duration in seconds."""
+        logarithm = math.log(max(_MIN_DURATION_S, duration_s))
+        self.add(LogDurations(1, logarithm, logarithm**2))
+
+    def add(self, other: LogDurations) -> None:
+        """Adds the durations of another object."""
+        self.count += other.count
+        self.total += other.total
+        self.square_total += other.square_total
+
+    def compute_mean(self) -> float:
+        """Returns the mean logarithm; `count` must not be 0."""
+        return self.total / self.count
+
+    def compute_squared_error(self) -> float:
+        """Returns the squared standard error of the mean logarithm."""
+        mean = self.compute_mean()
+        variance = max(0.0, self.square_total / self.count - mean**2)
+        return variance / max(1, self.count - 1)
+
+
 class CallCounts:
     """Counts of calls to the new version, or to all other versions.
 
@@ -72,9 +125,16 @@
         ended_count: Number of calls that ended, with success or failure.
         failure_count: Number of ended calls that failed.
         total_s: Sum of the durations of the ended calls in seconds.
+        durations: Durations of the calls that ended with success.
     """
 
-    __slots__ = ("sent_count", "ended_count", "failure_count", "total_s")
+    __slots__ = (
+        "sent_count",
+        "ended_count",
+        "failure_count",
+        "total_s",
+        "durations",
+    )
 
     def __init__(
         self,
@@ -82,11 +142,13 @@
         ended_count: int = 0,
         failure_count: int = 0,
         total_s: float = 0.0,
+        durations: LogDurations | None = None,
     ) -> None:
         self.sent_count = sent_count
         self.ended_count = ended_count
         self.failure_count = failure_count
         self.total_s = total_s
+        self.durations = durations or LogDurations()
 
     def add(self, other: CallCounts) -> None:
         """Adds other counts to these."""
@@ -94,9 +156,13 @@
         self.ended_count += other.ended_count
         self.failure_count += other.failure_count
         self.total_s += other.total_s
+        self.durations.add(other.durations)
 
     def subtract(self, earlier: CallCounts) -> CallCounts:
-        """Returns the difference from earlier values of the same counts."""
+        """Returns the difference from earlier values of the same counts.
+
+        The result has no `durations`.
+        """
         return CallCounts(
             self.sent_count - earlier.sent_count,
             self.ended_count - earlier.ended_count,
@@ -225,9 +291,14 @@
             return self.state
         new, old = self.sum_counts(new=True), self.sum_counts(new=False)
         recent = self._update_history(now_s, new)
-        if _is_regression(new, old) or _is_failing(recent, old):
+        is_due = self._compute_elapsed_fraction(now_s) >= 1.0
+        if (
+            _is_failing(new, old)
+            or _is_failing(recent, old)
+            or _is_slow(new, old, is_due=is_due)
+        ):
             return RolloutState.ROLLED_BACK
-        if self._compute_elapsed_fraction(now_s) < 1.0:
+        if not is_due:
             return RolloutState.RUNNING
         if new.ended_count >= MIN_ENDED_CALLS:
             return RolloutState.COMPLETED
@@ -297,6 +368,8 @@
             counts.ended_count += 1
             counts.failure_count += failed
             counts.total_s += duration_s
+            if not failed:
+                counts.durations.record(duration_s)
 
     def store_verdict(
         self, service: str, order_version: int, state: RolloutState
@@ -383,13 +456,29 @@
     )
 
 
-def _is_regression(new: CallCounts, old: CallCounts) -> bool:
-    """Whether the new version fails too often or is too slow."""
-    if _is_failing(new, old):
-        return True
-    if new.ended_count < _MIN_TIMED_CALLS or not old.ended_count:
+def _is_slow(new: CallCounts, old: CallCounts, *, is_due: bool) -> bool:
+    """Whether the calls to the new version take too long.
+
+    Args:
+        new: Counts of the new version.
+        old: Counts of the old version.
+        is_due: Whether the verdict is due.
+    """
+    if new.ended_count >= _MIN_TIMED_CALLS and old.ended_count:
+        limit_s = _SLOW_FACTOR * old.compute_mean_s() + _SLOW_MARGIN_S
+        if new.compute_mean_s() > limit_s:
+            return True
+    counts = (new.durations.count, old.durations.count)
+    if min(counts) < _MIN_TIMED_CALLS:
         return False
-    return (
-        new.compute_mean_s()
-        > _SLOW_FACTOR * old.compute_mean_s() + _SLOW_MARGIN_S
+    difference = new.durations.compute_mean() - old.durations.compute_mean()
+    standard_error = math.sqrt(
+        new.durations.compute_squared_error()
+        + old.durations.compute_squared_error()
+    )
+    min_errors = (
+        _MIN_STANDARD_ERRORS_WHEN_DUE if is_due else _MIN_STANDARD_ERRORS
+    )
+    return difference > max(
+        math.log(_SLOW_GEOMETRIC_FACTOR), min_errors * standard_error
     )
--- a/libs/routing/tests/test_rollouts.py
+++ b/libs/routing/tests/test_rollouts.py
@@ -33,6 +33,7 @@
 
     def __init__(self, seed: int) -> None:
         self.rng = random.Random(seed)
+        self.duration_rng = random.Random(seed)
         order = model.RolloutOrder("s", "v2", _DURATION_S)
         self.registries = [
             rollouts.RolloutRegistry() for _ in range(_PROCESSES)
@@ -43,15 +44,22 @@
         self.verdict_s = 0.0
 
     def simulate(
-        self, failure_share: object, slowdown: float = 1.0
+        self,
+        failure_share: object,
+        slowdown: float = 1.0,
+        slow_share: float = 1.0,
+        log_spread: float = 0.0,
     ) -> rollouts.RolloutState:
         """Simulates calls until the verdict or the end of the rollout.
 
         Args:
             failure_share: Function from the time in seconds to the failure
                 share of the new version.
-            slowdown: Mean duration of the new version's calls, as a multiple
+            slowdown: Duration of a slow call of the new version, as a multiple
                 of that of the old version.
+            slow_share: Share of the new version's calls that are slow.
+            log_spread: Standard deviation of the natural logarithms of the
+                durations of one version.
 
         Returns:
             The verdict, or RUNNING if there is none.
@@ -66,7 +74,9 @@
             self.all_calls += 1
             self.new_calls += is_new
             share = failure_share(now_s) if is_new else 0.01
-            duration_s = 0.02 * (slowdown if is_new else 1.0)
+            is_slow = is_new and self.duration_rng.random() < slow_share
+            duration_s = 0.02 * (slowdown if is_slow else 1.0)
+            duration_s *= self.duration_rng.lognormvariate(0.0, log_spread)
             registry.count_sent(target)
             registry.record_outcome(
                 target, duration_s, failed=self.rng.random() < share
@@ -125,6 +135,32 @@
             with self.subTest(name):
                 self.assertGreaterEqual(correct, 19)
 
+    # Guards against a slow version of a service with short calls, which was
+    # completed because its mean duration was below a fixed margin, and against
+    # the rollback of a good version because durations vary.
+    def test_verdict_for_slow_versions_of_short_calls(self) -> None:
+        # Slowdown, share of slow calls, verdict, least number of correct
+        # verdicts of 40. Durations vary as those of two kinds of calls do.
+        cases = (
+            (1.0, 1.0, rollouts.RolloutState.COMPLETED, 38),
+            (4.0, 1.0, rollouts.RolloutState.ROLLED_BACK, 38),
+            (8.0, 0.5, rollouts.RolloutState.ROLLED_BACK, 38),
+            (4.0, 0.7, rollouts.RolloutState.ROLLED_BACK, 38),
+        )
+        for slowdown, slow_share, expected, least_correct in cases:
+            correct = 0
+            for seed in range(40):
+                processes = _Processes(seed)
+                state = processes.simulate(
+                    lambda _: 0.0, slowdown, slow_share, log_spread=0.9
+                )
+                correct += state is expected
+                self.assertLessEqual(
+                    processes.new_calls, 0.1 * processes.all_calls + 50
+                )
+            with self.subTest(slowdown=slowdown, slow_share=slow_share):
+                self.assertGreaterEqual(correct, least_correct)
+
     def test_version_without_ended_calls_is_rolled_back(self) -> None:
         rollout = rollouts.Rollout(
             model.RolloutOrder("s", "v2", 10.0), 1, 100.0
