Bound the crashes of requests in a heartbeat

Cause: each heartbeat carried every crash mark of the last ten minutes, up to 256, about 45 bytes each.

Change: at most 32, those of quarantined requests first, the others for 10 s, which is enough for all peers to have them.

Ruled out: dropping the marks earlier; a process would send the request to three more endpoints.

--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -328,6 +328,22 @@
             self._record_crash("common", f"e{number}", 10.0)
         self.assertFalse(self.crash_tracker.is_quarantined("common", 11.0))
 
+    # Guards against heartbeats that fill slow links after many engines crashed.
+    def test_shared_crashes_are_bounded_and_keep_quarantined_requests(
+        self,
+    ) -> None:
+        for number in range(crashes.CRASH_LIMIT):
+            self._record_crash("bad", f"e{number}", 10.0)
+        for number in range(200):
+            self._record_crash(f"waiting{number}", "e9", 20.0)
+        bad = [("bad", f"e{number}") for number in range(crashes.CRASH_LIMIT)]
+        shared = self.crash_tracker.list_crashes(21.0)
+        self.assertEqual(len(shared), crashes.MAX_SHARED)
+        self.assertEqual(set(shared[: crashes.CRASH_LIMIT]), set(bad))
+        later_s = 21.0 + crashes.SHARE_S
+        shared = self.crash_tracker.list_crashes(later_s)
+        self.assertEqual(set(shared), set(bad))
+
     def test_expired_crashes_are_not_shared(self) -> None:
         self._record_crash("bad", "e", 10.0)
         later_s = 11.0 + crashes.EVIDENCE_EXPIRY_S
--- a/libs/routing/src/dandelionlead/routing/crashes.py
+++ b/libs/routing/src/dandelionlead/routing/crashes.py
@@ -26,6 +26,11 @@
 CRASH_CONFIRM_S = 4.0
 # Time for which a crash or a completed request counts.
 EVIDENCE_EXPIRY_S = 600.0
+# Time for which a crash of a request that is not quarantined is sent to peers,
+# and the maximum number of crashes in a heartbeat. Heartbeats go to all peers,
+# also over slow links.
+SHARE_S = 10.0
+MAX_SHARED = 32
 # Maximum numbers of crashes and of completed requests that are kept.
 _MAX_CRASHES = 256
 _MAX_COMPLETED = 2_048
@@ -124,15 +129,22 @@
         return crash_count >= CRASH_LIMIT
 
     def list_crashes(self, now_s: float) -> list[tuple[str, str]]:
-        """Returns the recent crashes, to be sent to peers.
+        """Returns the crashes to send to peers, at most `MAX_SHARED`.
 
-        Each is a pair of the request's fingerprint and the endpoint's id.
+        Those of quarantined requests come first, for processes that start
+        later, then the newest of the last `SHARE_S`. Each is a pair of the
+        request's fingerprint and the endpoint.
         """
-        return [
-            pair
-            for pair, crashed_s in self._crashes.items()
-            if now_s - crashed_s <= EVIDENCE_EXPIRY_S
-        ]
+        quarantined, recent = [], []
+        for pair, crashed_s in reversed(self._crashes.items()):
+            age_s = now_s - crashed_s
+            if age_s > EVIDENCE_EXPIRY_S:
+                continue
+            if self.is_quarantined(pair[0], now_s):
+                quarantined.append(pair)
+            elif age_s <= SHARE_S:
+                recent.append(pair)
+        return (quarantined + recent)[:MAX_SHARED]
 
     def add_peer_crashes(
         self, crashes: Iterable[tuple[str, str]], now_s: float
