Count each start of an endpoint that a request crashes

Cause: crashes were kept by request and endpoint id.

Change: the key is the endpoint with its start time, as for parts of prompts. While processes of both builds run, one crash may be counted under both keys, so that a request is refused after two endpoints.

Ruled out: counting repeated marks of one id; peers report one crash several times.

--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -119,7 +119,7 @@
             return
         now_s = clock.boottime()
         self._request_tracker.record_broken_connection(
-            self._fingerprint, endpoint.endpoint_id, now_s
+            self._fingerprint, endpoint.incarnation, now_s
         )
         if not self._has_event:
             self._prompt_tracker.record_broken_connection(
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -6,12 +6,16 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 
 from dandelionlead.cluster import mirror
 from dandelionlead.cluster import roster
 from dandelionlead.cluster.gen import ttypes
+from dandelionlead.core import clock
 from dandelionlead.core import errors
+from dandelionlead.core import events
+from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import serving
 from dandelionlead.http import limits
 from dandelionlead.http import sse
@@ -19,6 +23,8 @@
 from dandelionlead.routing import crashes
 from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
+from dandelionlead.routing import scheduling
+from dandelionlead.routing import shared_limits
 
 
 def _endpoint(
@@ -350,6 +356,52 @@
         self.assertEqual(self.crash_tracker.list_crashes(later_s), [])
 
 
+class RestartCrashTest(unittest.TestCase):
+    """Guards against a request that crashes the same endpoint at each start.
+
+    Load pattern: a service has few endpoints, which keep their ids when they
+    start again, and a caller sends a fatal request again and again.
+    """
+
+    def test_each_start_of_an_endpoint_counts(self) -> None:
+        view = routing_view.RoutingView()
+        scheduler = scheduling.Scheduler(
+            view,
+            scheduling.ClusterMembership("n", "a", lambda: ["n"]),
+            shared_limits.RetryBudget(0.2, 50, 10),
+            random.Random(1),
+        )
+        route = model.Route(
+            "orders",
+            "h",
+            "/",
+            model.CallKind.NON_IDEMPOTENT,
+            (model.Target("s", 1.0),),
+        )
+        call = calls.Call("r", b"POST", b"/", "h", "/", [], body=b"poison")
+        admitted = calls.AdmittedCall(
+            call, route, None, model.Service("s", 0, 0.0, None), 1
+        )
+        detector = crash_detection.CrashDetector(
+            scheduler, view, events.Log("test")
+        )
+        for started_unix_ms in range(1, crashes.CRASH_LIMIT + 1):
+            request_crashes = crash_detection.RequestCrashes(
+                detector, scheduler, admitted
+            )
+            self.assertIsNone(request_crashes.find_failure())
+            endpoint = model.Endpoint(
+                "e", "s", "127.0.0.1", 1, "a", started_unix_ms=started_unix_ms
+            )
+            view.set_endpoint(endpoint)
+            request_crashes.record_broken_connection(endpoint)
+            scheduler.record_unreachable(endpoint, clock.boottime())
+        self.assertIs(
+            request_crashes.find_failure().kind,
+            errors.Kind.REQUEST_QUARANTINED,
+        )
+
+
 class EventSplitterTest(unittest.TestCase):
     """Guards against forwarding partial events and against missed event ids."""
 
--- a/libs/routing/src/dandelionlead/routing/crashes.py
+++ b/libs/routing/src/dandelionlead/routing/crashes.py
@@ -19,7 +19,8 @@
 
 from dandelionlead.routing import calls
 
-# Number of different endpoints that a request must crash to be rejected.
+# Number of endpoints that a request must crash to be rejected. Each start of an
+# endpoint counts.
 CRASH_LIMIT = 3
 # A crash is recorded if the endpoint is lost within this time in seconds after
 # the connection broke.
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -261,10 +261,9 @@
         each part of a prompt, whose connection to it broke shortly before.
         """
         self.health_tracker.record_unreachable(endpoint.endpoint_id, now_s)
-        self.crash_tracker.record_endpoint_lost(endpoint.endpoint_id, now_s)
-        self.prompt_crash_tracker.record_endpoint_lost(
-            endpoint.incarnation, now_s
-        )
+        incarnation = endpoint.incarnation
+        self.crash_tracker.record_endpoint_lost(incarnation, now_s)
+        self.prompt_crash_tracker.record_endpoint_lost(incarnation, now_s)
 
     def count_sent(self, endpoint: model.Endpoint, now_s: float) -> None:
         """Counts a request that is about to be sent to an endpoint.
