--- a/libs/config/tests/test_policy_file.py
+++ b/libs/config/tests/test_policy_file.py
@@ -15,7 +15,8 @@
 from dandelionlead.routing import policy
 
 _ROOT = pathlib.Path(__file__).resolve().parents[3]
-_MAX_CHECK_S = 2.0
+# Processor time, so that other processes on the machine do not count.
+_MAX_CHECK_S = 1.0
 
 
 class PolicyFileTest(unittest.TestCase):
@@ -73,16 +74,16 @@
         lines = ['// "wrong": 1 and other "text" with */ signs'] * 120_000
         text = "{\n" + "\n".join(lines) + '\n"wrong": 1}'
         self.assertGreater(len(text), 5_000_000)
-        started_s = time.monotonic()
+        started_s = time.process_time()
         faults = self._load(text)
-        self.assertLess(time.monotonic() - started_s, _MAX_CHECK_S)
+        self.assertLess(time.process_time() - started_s, _MAX_CHECK_S)
         self.assertEqual([fault.line for fault in faults], [120_002])
 
     def test_number_of_reported_faults_is_limited(self) -> None:
         fields = [f'"wrong_{number}": 1' for number in range(100_000)]
-        started_s = time.monotonic()
+        started_s = time.process_time()
         faults = self._load("{" + ",\n".join(fields) + "}")
-        self.assertLess(time.monotonic() - started_s, _MAX_CHECK_S)
+        self.assertLess(time.process_time() - started_s, _MAX_CHECK_S)
         self.assertEqual(len(faults), policy_file.MAX_FAULTS)
 
 
