Let a body from the store take longer as long as bytes arrive

Cause, the same class as that of the copies between peers: the read of a whole table had 1.5 s for head and body. A configuration with twice 1,400 routes takes 0.6 MB, 0.8 MB in base64, 1.25 s on an idle link of 5 Mbit/s and more beside traffic. Each attempt would end at the limit and start from the beginning, and after a loss of all processes there is no peer to copy from.

A store that does not respond, or stops in the middle, is detected as soon as before.

Ruled out: a longer limit on the whole response; a silent store would hold up each read that long.

--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -92,20 +92,44 @@
 BODY_END = BodyEnd()
 
 
+class BodyTimeouts:
+    """Limits on the time in which a body arrives.
+
+    Attributes:
+        idle_s: Seconds within which each next part must arrive.
+        total_s: Seconds for the whole body.
+    """
+
+    __slots__ = ("idle_s", "total_s")
+
+    def __init__(self, idle_s: float, total_s: float) -> None:
+        self.idle_s = idle_s
+        self.total_s = total_s
+
+
 class ExchangeLimits:
     """Limits of one request and its response.
 
     Attributes:
         timeout_s: Seconds from the start of the request to the end of the
-            response.
+            response, or to the end of its head if the body has limits of its
+            own.
         max_body_bytes: Largest size of the response body.
+        body_timeouts: Limits on the time of the body, for bodies that may be
+            large; None if `timeout_s` includes the body.
     """
 
-    __slots__ = ("timeout_s", "max_body_bytes")
+    __slots__ = ("timeout_s", "max_body_bytes", "body_timeouts")
 
-    def __init__(self, timeout_s: float, max_body_bytes: int) -> None:
+    def __init__(
+        self,
+        timeout_s: float,
+        max_body_bytes: int,
+        body_timeouts: BodyTimeouts | None = None,
+    ) -> None:
         self.timeout_s = timeout_s
         self.max_body_bytes = max_body_bytes
+        self.body_timeouts = body_timeouts
 
 
 class ClientConnection:
@@ -240,7 +264,10 @@
             return _endpoint_failed("the response body is incomplete")
 
     def read_body(
-        self, deadline_s: float, max_bytes: int
+        self,
+        deadline_s: float,
+        max_bytes: int,
+        idle_timeout_s: float = float("inf"),
     ) -> bytes | errors.Failure:
         """Reads the rest of the response body.
 
@@ -248,6 +275,7 @@
             deadline_s: Deadline in seconds of `clock.boottime`.
             max_bytes: Largest size of the rest of the body; a larger one is a
                 failure.
+            idle_timeout_s: Seconds within which each next part must arrive.
 
         Returns:
             The rest of the body, or the failure.
@@ -255,7 +283,9 @@
         chunks: list[bytes] = []
         size = 0
         for _ in range(_MAX_BODY_PARTS + 1):
-            data = self.read_body_part(deadline_s)
+            data = self.read_body_part(
+                min(deadline_s, clock.boottime() + idle_timeout_s)
+            )
             if data is BODY_END:
                 return b"".join(chunks)
             if not isinstance(data, bytes):
@@ -297,7 +327,11 @@
         head = self.read_head(deadline_s)
         if isinstance(head, errors.Failure):
             return head
-        data = self.read_body(deadline_s, limits.max_body_bytes)
+        idle_timeout_s = float("inf")
+        if limits.body_timeouts is not None:
+            idle_timeout_s = limits.body_timeouts.idle_s
+            deadline_s = clock.boottime() + limits.body_timeouts.total_s
+        data = self.read_body(deadline_s, limits.max_body_bytes, idle_timeout_s)
         if isinstance(data, errors.Failure):
             return data
         return head, data
