Do not count silence while a large body from the store arrives

The silence itself was the process's own: 0.4 MB from the store were arriving.

LinkActivity is passed on by the sender.

Ruled out: a longer overlap; two engines may work on a run for 0.4 s at most.

--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -161,6 +161,7 @@
                     self._sender.return_conn(ended_response)
                     self.outcome.is_complete = True
                     return self.outcome
+                cache_location = self._describe_cache_location()
                 if self._may_return_to_source(failure):
                     current_response = self._resume_silent_run(ended_response)
                     if current_response is not None:
@@ -173,7 +174,6 @@
                     self._request_crashes.record_broken_connection(
                         ended_response.endpoint
                     )
-                cache_location = self._describe_cache_location()
                 current_response = self._resume(failure)
                 if (
                     current_response is None
@@ -365,9 +365,9 @@
         """Reads the next part of a response.
 
         If the engine sends nothing, the read fails after `_silence_timeout_s`,
-        provided that a copy or backup exists on another engine and that the
-        response to the caller has started. Otherwise it fails at the call's
-        deadline.
+        provided that a copy or backup exists on another engine, that the
+        response to the caller has started, and that no large body fills the
+        link of this process. Otherwise it fails at the call's deadline.
         """
         run = self._run
         deadline_s = run.admitted.deadline_s
@@ -389,6 +389,8 @@
                 isinstance(data, errors.Failure)
                 and data.kind is errors.Kind.ENDPOINT_SILENT
             )
+            if is_silent and self._sender.activity.was_busy_since(now_s):
+                can_fail_early = False
             if (
                 not is_silent
                 or can_fail_early
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -11,6 +11,7 @@
 from dandelionlead.gateway import connection_pool
 from dandelionlead.gateway import platform_codec
 from dandelionlead.http import client
+from dandelionlead.http import link_activity
 from dandelionlead.routing import calls
 from dandelionlead.routing import model
 
@@ -60,13 +61,19 @@
     Args:
         pool: Pool of idle connections.
         codec: Converts requests and responses of the platform.
+        activity: Records when this process receives large bodies.
+
+    Attributes:
+        activity: As passed to the constructor.
     """
 
     def __init__(
         self,
         pool: connection_pool.ConnectionPool,
         codec: platform_codec.PlatformCodec,
+        activity: link_activity.LinkActivity,
     ) -> None:
+        self.activity = activity
         self._pool = pool
         self._codec = codec
 
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -24,6 +24,7 @@
 from dandelionlead.gateway import sending
 from dandelionlead.gateway import supervisor
 from dandelionlead.http import client
+from dandelionlead.http import link_activity
 from dandelionlead.routing import calls
 from dandelionlead.routing import loads
 from dandelionlead.routing import model
@@ -65,10 +66,13 @@
     def __init__(self, full_ids: set[str]) -> None:
         self.requests: list[tuple] = []
         self.full_ids = full_ids
+        self.activity = link_activity.LinkActivity()
+        self.call_count = 0
         # Seconds until the response to a call, its status and its connection.
-        self.resumed = (0.0, 503, None)
+        self.resumed = (0.0, 503, _FakeConn())
 
     def send_call(self, admitted, endpoint, head_deadline_s, **_):
+        self.call_count += 1
         delay_s, status, conn = self.resumed
         eventlet.sleep(delay_s)
         head = calls.EndpointResponseHead(status, [])
@@ -91,9 +95,13 @@
     def __init__(self, *parts: bytes) -> None:
         self._parts = [*parts, client.BODY_END]
         self.is_closed = False
+        self.on_silence = lambda: None
 
     def read_body_part(self, deadline_s):
-        return self._parts.pop(0)
+        part = self._parts.pop(0)
+        if isinstance(part, errors.Failure):
+            self.on_silence()
+        return part
 
     def close(self):
         self.is_closed = True
@@ -486,6 +494,22 @@
                     )
                     self.assertEqual(load.runs, 0)
 
+    def test_silence_while_a_large_body_arrives_does_not_count(self) -> None:
+        rest = b"id: 2\ndata: b\n\n"
+        for byte_count, is_resumed in ((500_000, False), (1_000, True)):
+            with self.subTest(byte_count=byte_count):
+                run = self._start_run_with_backup()
+                source = _FakeConn(
+                    b"id: 1\ndata: a\n\n", self.SILENCE, self.SILENCE, rest
+                )
+                source.on_silence = lambda size=byte_count: (
+                    self.sender.activity.record_part(size)
+                )
+                self.sender.call_count = 0
+                outcome = self.relay(run, _FakeResponseWriter(), source)
+                self.assertTrue(outcome.is_complete)
+                self.assertEqual(self.sender.call_count > 0, is_resumed)
+
 
 class StoppedStreamTest(_RelayCase):
     """Guards against a stream that was stopped for its migration.
--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -19,6 +19,7 @@
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
+from dandelionlead.http import link_activity
 
 _RECV_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
@@ -117,19 +118,22 @@
         max_body_bytes: Largest size of the response body.
         body_timeouts: Limits on the time of the body, for bodies that may be
             large; None if `timeout_s` includes the body.
+        activity: Receives the size of the body while it arrives; may be None.
     """
 
-    __slots__ = ("timeout_s", "max_body_bytes", "body_timeouts")
+    __slots__ = ("timeout_s", "max_body_bytes", "body_timeouts", "activity")
 
     def __init__(
         self,
         timeout_s: float,
         max_body_bytes: int,
         body_timeouts: BodyTimeouts | None = None,
+        activity: link_activity.LinkActivity | None = None,
     ) -> None:
         self.timeout_s = timeout_s
         self.max_body_bytes = max_body_bytes
         self.body_timeouts = body_timeouts
+        self.activity = activity
 
 
 class ClientConnection:
@@ -268,6 +272,7 @@
         deadline_s: float,
         max_bytes: int,
         idle_timeout_s: float = float("inf"),
+        activity: link_activity.LinkActivity | None = None,
     ) -> bytes | errors.Failure:
         """Reads the rest of the response body.
 
@@ -276,6 +281,7 @@
             max_bytes: Largest size of the rest of the body; a larger one is a
                 failure.
             idle_timeout_s: Seconds within which each next part must arrive.
+            activity: Receives the size of the body while it arrives.
 
         Returns:
             The rest of the body, or the failure.
@@ -295,6 +301,8 @@
                 return _endpoint_failed(
                     "the response body exceeds the size limit"
                 )
+            if activity is not None:
+                activity.record_part(size)
             chunks.append(data)
         return _endpoint_failed("the response body has too many parts")
 
@@ -331,7 +339,9 @@
         if limits.body_timeouts is not None:
             idle_timeout_s = limits.body_timeouts.idle_s
             deadline_s = clock.boottime() + limits.body_timeouts.total_s
-        data = self.read_body(deadline_s, limits.max_body_bytes, idle_timeout_s)
+        data = self.read_body(
+            deadline_s, limits.max_body_bytes, idle_timeout_s, limits.activity
+        )
         if isinstance(data, errors.Failure):
             return data
         return head, data
