Bound the prompt parts that a heartbeat can hold

Change: 16 parts of a prompt, with 32 characters of their ids, are suspected.

Ruled out: leaving large prompts out; their parts may be fatal, too.

--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -23,6 +23,10 @@
 # seconds later, after the restart.
 _DELAYS_S = (0.05, 0.4)
 _CONNECT_TIMEOUT_S = 0.3
+# Number of parts of a prompt that are suspected, and length of their ids. Both
+# come from callers, and suspected parts are sent to all peers.
+_MAX_PARTS = 16
+_MAX_PART_ID_LENGTH = 32
 
 
 class CrashDetector:
@@ -109,7 +113,8 @@
         self._prompt_tracker = scheduler.prompt_crash_tracker
         self._fingerprint = crashes.compute_fingerprint(admitted)
         self._part_ids = tuple(
-            part_id for part_id, _ in admitted.call.prompt_parts[:-1]
+            part_id[:_MAX_PART_ID_LENGTH]
+            for part_id, _ in admitted.call.prompt_parts[:-1][:_MAX_PARTS]
         )
         self._has_event = False
 
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -10,12 +10,14 @@
 import unittest
 
 from dandelionlead.cluster import mirror
+from dandelionlead.cluster import peer_transport
 from dandelionlead.cluster import roster
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.gateway import crash_detection
+from dandelionlead.gateway import heartbeats
 from dandelionlead.gateway import serving
 from dandelionlead.http import limits
 from dandelionlead.http import sse
@@ -356,6 +358,71 @@
         self.assertEqual(self.crash_tracker.list_crashes(later_s), [])
 
 
+def _make_scheduler(view: routing_view.RoutingView) -> scheduling.Scheduler:
+    return scheduling.Scheduler(
+        view,
+        scheduling.ClusterMembership("n", "a", lambda: ["n"]),
+        shared_limits.RetryBudget(0.2, 50, 10),
+        random.Random(1),
+    )
+
+
+def _make_admitted_call(**fields: object) -> calls.AdmittedCall:
+    route = model.Route(
+        "orders",
+        "h",
+        "/",
+        model.CallKind.NON_IDEMPOTENT,
+        (model.Target("s", 1.0),),
+    )
+    call = calls.Call("r", b"POST", b"/", "h", "/", [], **fields)
+    service = model.Service("s", 0, 0.0, None)
+    return calls.AdmittedCall(call, route, None, service, 1)
+
+
+class LargePromptCrashTest(unittest.TestCase):
+    """Guards against heartbeats that are too large to be received.
+
+    The ids of the parts of prompts come from callers.
+    """
+
+    MAX_HEARTBEAT_BYTES = 16_384
+
+    def test_heartbeat_with_crashes_of_large_prompts_is_bounded(self) -> None:
+        view = routing_view.RoutingView()
+        scheduler = _make_scheduler(view)
+        detector = crash_detection.CrashDetector(
+            scheduler, view, events.Log("test")
+        )
+        for number in range(40):
+            endpoint = model.Endpoint(f"e{number}", "s", "127.0.0.1", 1, "a")
+            view.set_endpoint(endpoint)
+            parts = [(f"{number}-{part}-" + "f" * 90, 9) for part in range(150)]
+            admitted = _make_admitted_call(prompt_parts=tuple(parts))
+            request_crashes = crash_detection.RequestCrashes(
+                detector, scheduler, admitted
+            )
+            request_crashes.record_broken_connection(endpoint)
+            scheduler.record_unreachable(endpoint, clock.boottime())
+        identity = heartbeats.ProcessIdentity(
+            "n", "10.0.0.1", "a", ("10.0.0.1", 80)
+        )
+        state = heartbeats.ProcessState(
+            view,
+            scheduler,
+            serving.ServingState(),
+            roster.Roster("n", "10.0.0.1"),
+            mirror.Table(),
+            mirror.Table(),
+        )
+        handler = heartbeats.HeartbeatHandler(identity, state, lambda _: None)
+        heartbeat = handler.build_heartbeat()
+        self.assertTrue(heartbeat.prompt_crashes)
+        self.assertLess(
+            len(peer_transport.encode(heartbeat)), self.MAX_HEARTBEAT_BYTES
+        )
+
+
 class RestartCrashTest(unittest.TestCase):
     """Guards against a request that crashes the same endpoint at each start.
 
@@ -365,23 +432,8 @@
 
     def test_each_start_of_an_endpoint_counts(self) -> None:
         view = routing_view.RoutingView()
-        scheduler = scheduling.Scheduler(
-            view,
-            scheduling.ClusterMembership("n", "a", lambda: ["n"]),
-            shared_limits.RetryBudget(0.2, 50, 10),
-            random.Random(1),
-        )
-        route = model.Route(
-            "orders",
-            "h",
-            "/",
-            model.CallKind.NON_IDEMPOTENT,
-            (model.Target("s", 1.0),),
-        )
-        call = calls.Call("r", b"POST", b"/", "h", "/", [], body=b"poison")
-        admitted = calls.AdmittedCall(
-            call, route, None, model.Service("s", 0, 0.0, None), 1
-        )
+        scheduler = _make_scheduler(view)
+        admitted = _make_admitted_call(body=b"poison")
         detector = crash_detection.CrashDetector(
             scheduler, view, events.Log("test")
         )
