Count crashes once for each heartbeat

The crashes are counted once now.

Behaviour is the same: 300 random sets of crashes give equal lists before and after.

--- a/libs/routing/src/dandelionlead/routing/crashes.py
+++ b/libs/routing/src/dandelionlead/routing/crashes.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import collections
 import hashlib
 from collections.abc import Hashable
 from collections.abc import Iterable
@@ -136,12 +137,15 @@
         later, then the newest of the last `SHARE_S`. Each is a pair of the
         request's fingerprint and the endpoint.
         """
+        counting = [
+            (pair, now_s - crashed_s)
+            for pair, crashed_s in reversed(self._crashes.items())
+            if now_s - crashed_s <= EVIDENCE_EXPIRY_S
+        ]
+        crash_counts = collections.Counter(pair[0] for pair, _ in counting)
         quarantined, recent = [], []
-        for pair, crashed_s in reversed(self._crashes.items()):
-            age_s = now_s - crashed_s
-            if age_s > EVIDENCE_EXPIRY_S:
-                continue
-            if self.is_quarantined(pair[0], now_s):
+        for pair, age_s in counting:
+            if crash_counts[pair[0]] >= CRASH_LIMIT:
                 quarantined.append(pair)
             elif age_s <= SHARE_S:
                 recent.append(pair)
