--- a/libs/cluster/src/dandelionlead/cluster/table_copier.py
+++ b/libs/cluster/src/dandelionlead/cluster/table_copier.py
@@ -106,14 +106,16 @@
             return "busy"
         try:
             for table in resp.tables:
-                self._apply_table(table, requested_s)
+                self._apply_table(table, requested_s, host)
         except zlib.error as exc:
             self._log.event("copy_from_peer_failed", reason=repr(exc))
             return "failed"
         return "applied"
 
-    def _apply_table(self, table: ttypes.Table, requested_s: float) -> None:
-        """Applies a copied table to the mirror.
+    def _apply_table(
+        self, table: ttypes.Table, requested_s: float, host: str
+    ) -> None:
+        """Applies a copied table to the mirror, and logs one with rows.
 
         The message states how long ago the store last confirmed the peer's
         table as current. This age is subtracted from the time of the request
@@ -124,6 +126,7 @@
             table: The copied table.
             requested_s: Time at which the copy was requested, in seconds of
                 `clock.boottime`.
+            host: Host of the peer.
 
         Raises:
             zlib.error: If a compressed value is corrupt.
@@ -133,6 +136,14 @@
             mirror.Row(row.key, _decode_value(row), row.version)
             for row in table.rows
         ]
+        if rows:
+            self._log.event(
+                "copied_from_peer",
+                table=table.name,
+                peer=host,
+                version=table.version,
+                rows=len(rows),
+            )
         apply_rows = (
             self._table_mirror.replace_table
             if table.whole
