Log the limits that endpoints name in their answers

Cause for the change: no line says what limit an endpoint named, which process knows it, and since when, so that processes that do not know a limit cannot be told from processes that ignore it.

No logic is changed.

--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -9,6 +9,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.gateway import connection_pool
+from dandelionlead.gateway import endpoint_notices
 from dandelionlead.gateway import platform_codec
 from dandelionlead.http import client
 from dandelionlead.http import link_activity
@@ -62,6 +63,7 @@
         pool: Pool of idle connections.
         codec: Converts requests and responses of the platform.
         activity: Records when this process receives large bodies.
+        notices: Handles what endpoints state about themselves.
 
     Attributes:
         activity: As passed to the constructor.
@@ -72,8 +74,10 @@
         pool: connection_pool.ConnectionPool,
         codec: platform_codec.PlatformCodec,
         activity: link_activity.LinkActivity,
+        notices: endpoint_notices.EndpointNotices,
     ) -> None:
         self.activity = activity
+        self._notices = notices
         self._pool = pool
         self._codec = codec
 
@@ -219,6 +223,8 @@
                 return head
             response_head = self._codec.decode_response_head(head)
             if response_head.request_id in ("", call.request_id):
+                if not response_head.is_other_instance:
+                    self._notices.handle(endpoint, response_head)
                 return self._check_signature(conn, endpoint, response_head)
             if not head.has_body_framing or not conn.skip_response(
                 call.method, head_deadline_s
--- a/libs/routing/src/dandelionlead/routing/calls.py
+++ b/libs/routing/src/dandelionlead/routing/calls.py
@@ -191,6 +191,8 @@
             idle connection open; 0 if the response does not state it.
         ends_with_connection: Whether the body ends when the endpoint closes the
             connection, instead of at a length or an end mark.
+        max_requests_per_s: Requests per second that the endpoint takes from all
+            processes together; None if it names no limit.
     """
 
     __slots__ = (
@@ -202,6 +204,7 @@
         "closes_connection",
         "keep_alive_timeout_s",
         "ends_with_connection",
+        "max_requests_per_s",
         "headers",
     )
 
@@ -217,6 +220,7 @@
         closes_connection: bool = False,
         keep_alive_timeout_s: float = 0.0,
         ends_with_connection: bool = False,
+        max_requests_per_s: float | None = None,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -227,6 +231,7 @@
         self.closes_connection = closes_connection
         self.keep_alive_timeout_s = keep_alive_timeout_s
         self.ends_with_connection = ends_with_connection
+        self.max_requests_per_s = max_requests_per_s
 
 
 class MemoryCopy:
