Keep the request rate that endpoints name, over all processes together

Endpoints in need got many times the requests that they had named (LIMIT): 39 in 4 s at a limit of 2.8 a second, where 22 are allowed.

Cause: nothing read the limit. The lines of endpoint_limit show that the processes had it 0.02 s after it was named and went on as before. Ruled out: a preference for limited endpoints (they got what the others got).

Change: each process tells its peers, in load changes within 10 to 30 ms and in heartbeats, the limits that it has seen and how many requests it sent to such endpoints; endpoints whose window of 4 s or 1 s is full are not chosen. Equal parts for all processes were weighed and not taken: at 90 processes and 1 request a second a process could send one in 90 s. A part of 1.25 times the equal one holds besides, for lost messages. What exceeds the sum is refused at once with a time to return.

--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -18,6 +18,20 @@
   5: i32 unsaved_runs
 }
 
+// What one process knows about the request rate that an endpoint takes from all
+// processes together.
+struct EndpointLimit {
+  1: string endpoint_id
+  // Requests per second; negative if the endpoint names no limit any more.
+  2: double requests_per_s
+  // Milliseconds since the endpoint last stated this.
+  3: i32 named_ms_ago
+  // Requests that the process has sent since it knows of the limit.
+  4: i64 sent_count
+  // Those within the last window of the limit.
+  5: i32 recent_count
+}
+
 // A crash of an endpoint while it ran a request with this fingerprint.
 struct CrashMark {
   1: string fingerprint
@@ -119,6 +133,7 @@
   20: list<PromptCrash> prompt_crashes
   // Those sound parts that were suspected because of a crash.
   21: list<SoundPart> sound_parts
+  22: list<EndpointLimit> limits
 }
 
 // Loads of those endpoints whose load changed since the last message.
@@ -129,6 +144,8 @@
   3: i64 sequence
   // The whole load at each of these endpoints; all zeros if no run is left.
   4: list<EndpointLoad> loads
+  // Limits of those of these endpoints that have one.
+  5: list<EndpointLimit> limits
 }
 
 // A row of a table of the store.
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -132,6 +132,122 @@
         return not (self == other)
 
 
+class EndpointLimit(object):
+    """
+    Attributes:
+     - endpoint_id
+     - requests_per_s
+     - named_ms_ago
+     - sent_count
+     - recent_count
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'requests_per_s',
+        'named_ms_ago',
+        'sent_count',
+        'recent_count',
+    )
+
+
+    def __init__(self, endpoint_id=None, requests_per_s=None, named_ms_ago=None, sent_count=None, recent_count=None,):
+        self.endpoint_id = endpoint_id
+        self.requests_per_s = requests_per_s
+        self.named_ms_ago = named_ms_ago
+        self.sent_count = sent_count
+        self.recent_count = recent_count
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.DOUBLE:
+                    self.requests_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.named_ms_ago = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.sent_count = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.recent_count = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLimit')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.requests_per_s is not None:
+            oprot.writeFieldBegin('requests_per_s', TType.DOUBLE, 2)
+            oprot.writeDouble(self.requests_per_s)
+            oprot.writeFieldEnd()
+        if self.named_ms_ago is not None:
+            oprot.writeFieldBegin('named_ms_ago', TType.I32, 3)
+            oprot.writeI32(self.named_ms_ago)
+            oprot.writeFieldEnd()
+        if self.sent_count is not None:
+            oprot.writeFieldBegin('sent_count', TType.I64, 4)
+            oprot.writeI64(self.sent_count)
+            oprot.writeFieldEnd()
+        if self.recent_count is not None:
+            oprot.writeFieldBegin('recent_count', TType.I32, 5)
+            oprot.writeI32(self.recent_count)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CrashMark(object):
     """
     Attributes:
@@ -776,6 +892,7 @@
      - doubtful
      - prompt_crashes
      - sound_parts
+     - limits
 
     """
 
@@ -801,10 +918,11 @@
         'doubtful',
         'prompt_crashes',
         'sound_parts',
+        'limits',
     )
 
 
-    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None, doubtful=None, prompt_crashes=None, sound_parts=None,):
+    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None, doubtful=None, prompt_crashes=None, sound_parts=None, limits=None,):
         self.node = node
         self.incarnation = incarnation
         self.sequence = sequence
@@ -826,6 +944,7 @@
         self.doubtful = doubtful
         self.prompt_crashes = prompt_crashes
         self.sound_parts = sound_parts
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -993,6 +1112,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = EndpointLimit()
+                        _elem66.read(iprot)
+                        self.limits.append(_elem66)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1050,36 +1180,36 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter61 in self.loads:
-                iter61.write(oprot)
+            for iter67 in self.loads:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter62 in self.leaving:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter68 in self.leaving:
+                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter63 in self.crashes:
-                iter63.write(oprot)
+            for iter69 in self.crashes:
+                iter69.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter64 in self.versions:
-                iter64.write(oprot)
+            for iter70 in self.versions:
+                iter70.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_hosts is not None:
             oprot.writeFieldBegin('known_hosts', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter65 in self.known_hosts:
-                oprot.writeString(iter65.encode('utf-8') if sys.version_info[0] == 2 else iter65)
+            for iter71 in self.known_hosts:
+                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read_ms_ago is not None:
@@ -1089,29 +1219,36 @@
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter66 in self.verdicts:
-                iter66.write(oprot)
+            for iter72 in self.verdicts:
+                iter72.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.doubtful is not None:
             oprot.writeFieldBegin('doubtful', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.doubtful))
-            for iter67 in self.doubtful:
-                iter67.write(oprot)
+            for iter73 in self.doubtful:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompt_crashes is not None:
             oprot.writeFieldBegin('prompt_crashes', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.prompt_crashes))
-            for iter68 in self.prompt_crashes:
-                iter68.write(oprot)
+            for iter74 in self.prompt_crashes:
+                iter74.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound_parts is not None:
             oprot.writeFieldBegin('sound_parts', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.sound_parts))
-            for iter69 in self.sound_parts:
-                iter69.write(oprot)
+            for iter75 in self.sound_parts:
+                iter75.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 22)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter76 in self.limits:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1146,6 +1283,7 @@
      - incarnation
      - sequence
      - loads
+     - limits
 
     """
 
@@ -1154,14 +1292,16 @@
         'incarnation',
         'sequence',
         'loads',
+        'limits',
     )
 
 
-    def __init__(self, node=None, incarnation=None, sequence=None, loads=None,):
+    def __init__(self, node=None, incarnation=None, sequence=None, loads=None, limits=None,):
         self.node = node
         self.incarnation = incarnation
         self.sequence = sequence
         self.loads = loads
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1190,11 +1330,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = EndpointLoad()
-                        _elem75.read(iprot)
-                        self.loads.append(_elem75)
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = EndpointLoad()
+                        _elem82.read(iprot)
+                        self.loads.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = EndpointLimit()
+                        _elem88.read(iprot)
+                        self.limits.append(_elem88)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1223,8 +1374,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter76 in self.loads:
-                iter76.write(oprot)
+            for iter89 in self.loads:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter90 in self.limits:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1405,11 +1563,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = Row()
-                        _elem82.read(iprot)
-                        self.rows.append(_elem82)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = Row()
+                        _elem96.read(iprot)
+                        self.rows.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1444,8 +1602,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter83 in self.rows:
-                iter83.write(oprot)
+            for iter97 in self.rows:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1511,11 +1669,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.known_versions = {}
-                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
-                    for _i88 in range(_size84):
-                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val90 = iprot.readI64()
-                        self.known_versions[_key89] = _val90
+                    (_ktype99, _vtype100, _size98) = iprot.readMapBegin()
+                    for _i102 in range(_size98):
+                        _key103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val104 = iprot.readI64()
+                        self.known_versions[_key103] = _val104
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1537,9 +1695,9 @@
         if self.known_versions is not None:
             oprot.writeFieldBegin('known_versions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.known_versions))
-            for kiter91, viter92 in self.known_versions.items():
-                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
-                oprot.writeI64(viter92)
+            for kiter105, viter106 in self.known_versions.items():
+                oprot.writeString(kiter105.encode('utf-8') if sys.version_info[0] == 2 else kiter105)
+                oprot.writeI64(viter106)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.accepts_compression is not None:
@@ -1601,11 +1759,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = Table()
-                        _elem98.read(iprot)
-                        self.tables.append(_elem98)
+                    (_etype110, _size107) = iprot.readListBegin()
+                    for _i111 in range(_size107):
+                        _elem112 = Table()
+                        _elem112.read(iprot)
+                        self.tables.append(_elem112)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1627,8 +1785,8 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter99 in self.tables:
-                iter99.write(oprot)
+            for iter113 in self.tables:
+                iter113.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_busy is not None:
@@ -1667,6 +1825,15 @@
     (4, TType.I32, 'prefill_tokens', None, None, ),  # 4
     (5, TType.I32, 'unsaved_runs', None, None, ),  # 5
 )
+all_structs.append(EndpointLimit)
+EndpointLimit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.DOUBLE, 'requests_per_s', None, None, ),  # 2
+    (3, TType.I32, 'named_ms_ago', None, None, ),  # 3
+    (4, TType.I64, 'sent_count', None, None, ),  # 4
+    (5, TType.I32, 'recent_count', None, None, ),  # 5
+)
 all_structs.append(CrashMark)
 CrashMark.thrift_spec = (
     None,  # 0
@@ -1738,6 +1905,7 @@
     (19, TType.LIST, 'doubtful', (TType.STRUCT, [EndpointHealth, None], False), None, ),  # 19
     (20, TType.LIST, 'prompt_crashes', (TType.STRUCT, [PromptCrash, None], False), None, ),  # 20
     (21, TType.LIST, 'sound_parts', (TType.STRUCT, [SoundPart, None], False), None, ),  # 21
+    (22, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 22
 )
 all_structs.append(LoadChange)
 LoadChange.thrift_spec = (
@@ -1746,6 +1914,7 @@
     (2, TType.I64, 'incarnation', None, None, ),  # 2
     (3, TType.I64, 'sequence', None, None, ),  # 3
     (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
+    (5, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 5
 )
 all_structs.append(Row)
 Row.thrift_spec = (
--- a/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+from dandelionlead.core import clock
 from dandelionlead.core import events
 from dandelionlead.routing import calls
+from dandelionlead.routing import endpoint_limits
 from dandelionlead.routing import model
 
 
@@ -11,12 +13,15 @@
     """Handles the notices in the response heads of endpoints.
 
     Args:
+        limits: Receives the limits that endpoints name.
         log: Receives a line for each limit that an endpoint names anew.
     """
 
-    def __init__(self, log: events.Log) -> None:
+    def __init__(
+        self, limits: endpoint_limits.EndpointLimits, log: events.Log
+    ) -> None:
+        self._limits = limits
         self._log = log
-        self._limits: dict[str, float] = {}
 
     def handle(
         self, endpoint: model.Endpoint, head: calls.EndpointResponseHead
@@ -27,16 +32,13 @@
             endpoint: The endpoint that the call was sent to.
             head: Head of its response.
         """
-        endpoint_id = endpoint.endpoint_id
         limit = head.max_requests_per_s
-        if self._limits.get(endpoint_id) == limit:
-            return
-        if limit is None:
-            del self._limits[endpoint_id]
-        else:
-            self._limits[endpoint_id] = limit
-        self._log.event(
-            "endpoint_limit",
-            endpoint=endpoint_id,
-            per_s="none" if limit is None else limit,
+        has_changed = self._limits.record_named(
+            endpoint.endpoint_id, limit, clock.boottime()
         )
+        if has_changed:
+            self._log.event(
+                "endpoint_limit",
+                endpoint=endpoint.endpoint_id,
+                per_s="none" if limit is None else limit,
+            )
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -496,10 +496,18 @@
         )
 
     def _retry_after_s(self) -> float:
-        """Returns the seconds for `Retry-After`, by the kind of the route."""
-        if self._admitted.route.kind is model.CallKind.STREAMING:
-            return _RETRY_AFTER_STREAM_S
-        return _RETRY_AFTER_PLAIN_S
+        """Returns the seconds for `Retry-After`.
+
+        They depend on the kind of the route, and on when an endpoint takes
+        another request if all of them have named limits.
+        """
+        admitted = self._admitted
+        wait_s = self._deps.scheduler.compute_limit_wait_s(
+            admitted.service.name, clock.boottime()
+        )
+        if admitted.route.kind is model.CallKind.STREAMING:
+            return max(wait_s, _RETRY_AFTER_STREAM_S)
+        return max(wait_s, _RETRY_AFTER_PLAIN_S)
 
     def _make_final_failure(self) -> errors.Failure:
         """Returns the failure for the caller's error response.
--- a/libs/gateway/src/dandelionlead/gateway/heartbeats.py
+++ b/libs/gateway/src/dandelionlead/gateway/heartbeats.py
@@ -14,6 +14,7 @@
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
 from dandelionlead.gateway import serving
+from dandelionlead.routing import endpoint_limits
 from dandelionlead.routing import health
 from dandelionlead.routing import loads
 from dandelionlead.routing import prompt_crashes
@@ -170,6 +171,9 @@
             sound_parts=_encode_sound_parts(
                 state.scheduler.prompt_crash_tracker, now_s
             ),
+            limits=_encode_limits(
+                state.scheduler.endpoint_limits.list_reports(now_s), now_s
+            ),
         )
 
     def build_load_change(self, endpoint_ids: set[str]) -> ttypes.LoadChange:
@@ -179,7 +183,9 @@
             endpoint_ids: Ids of the endpoints.
         """
         self._sequence += 1
-        own_loads = self._process_state.scheduler.load_tracker.get_own_loads()
+        now_s = clock.boottime()
+        scheduler = self._process_state.scheduler
+        own_loads = scheduler.load_tracker.get_own_loads()
         return ttypes.LoadChange(
             node=self._identity.name,
             incarnation=self._identity.incarnation,
@@ -190,10 +196,15 @@
                 )
                 for endpoint_id in endpoint_ids
             ],
+            limits=_encode_limits(
+                scheduler.endpoint_limits.list_reports(now_s, endpoint_ids),
+                now_s,
+            ),
         )
 
     def handle_load_change(self, change: ttypes.LoadChange) -> None:
-        """Applies the changed loads of a peer."""
+        """Applies the changed loads and limits of a peer."""
+        self._apply_limits(change)
         self._process_state.scheduler.load_tracker.update_peer_loads(
             change.node, _decode_loads(change.loads)
         )
@@ -221,6 +232,7 @@
             now_s + process_state.peer_roster.peer_timeout_s(),
         )
         self._apply_rollouts(heartbeat)
+        self._apply_limits(heartbeat)
         process_state.scheduler.crash_tracker.add_peer_crashes(
             [
                 (mark.fingerprint, mark.endpoint_id)
@@ -242,6 +254,28 @@
         ):
             self._on_newer_table(heartbeat.host)
 
+    def _apply_limits(
+        self, message: ttypes.Heartbeat | ttypes.LoadChange
+    ) -> None:
+        """Applies the limits of endpoints that a peer knows.
+
+        A peer of an older build sends none.
+        """
+        now_s = clock.boottime()
+        limits = self._process_state.scheduler.endpoint_limits
+        for item in message.limits or ():
+            limits.add_peer_report(
+                f"{message.node}/{message.incarnation}",
+                endpoint_limits.LimitReport(
+                    item.endpoint_id,
+                    None if item.requests_per_s < 0 else item.requests_per_s,
+                    now_s - item.named_ms_ago / 1e3,
+                    item.sent_count,
+                    item.recent_count,
+                ),
+                now_s,
+            )
+
     def _encode_version_counts(self) -> list[ttypes.VersionCount]:
         """Returns this process's call counts for all rollouts."""
         return [
@@ -311,6 +345,22 @@
     )
 
 
+def _encode_limits(
+    reports: list[endpoint_limits.LimitReport], now_s: float
+) -> list[ttypes.EndpointLimit]:
+    """Converts what this process knows about the limits of endpoints."""
+    return [
+        ttypes.EndpointLimit(
+            report.endpoint_id,
+            -1.0 if report.requests_per_s is None else report.requests_per_s,
+            _ms_since(report.named_s, now_s),
+            report.sent_count,
+            report.recent_count,
+        )
+        for report in reports
+    ]
+
+
 def _decode_loads(items: list[ttypes.EndpointLoad]) -> dict[str, loads.Load]:
     """Converts the loads of a message; returns them by endpoint id."""
     return {
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -14,6 +14,7 @@
 from dandelionlead.core import hashing
 from dandelionlead.routing import calls
 from dandelionlead.routing import crashes
+from dandelionlead.routing import endpoint_limits
 from dandelionlead.routing import endpoint_selection
 from dandelionlead.routing import health
 from dandelionlead.routing import loads
@@ -96,6 +97,7 @@
         prefill_rate: Rate at which engines read prompts.
         crash_tracker: Requests that crash endpoints.
         prompt_crash_tracker: Parts of prompts that crash engines.
+        endpoint_limits: Limits that endpoints have named.
         operator_policy: Operator settings for the migration, backup and
             queueing of runs.
     """
@@ -115,6 +117,7 @@
         self.prefill_rate = prefill_rate.PrefillRate()
         self.crash_tracker = crashes.CrashTracker()
         self.prompt_crash_tracker = prompt_crashes.PromptCrashTracker()
+        self.endpoint_limits = endpoint_limits.EndpointLimits()
         self._view = view
         self._membership = membership
         self._cold_rate_limit = shared_limits.ColdRateLimit()
@@ -184,6 +187,26 @@
             other_zone_cost=other_zone_cost,
         )
 
+    def compute_limit_wait_s(self, service: str, now_s: float) -> float:
+        """Returns the seconds until an endpoint of a service takes a request.
+
+        Only the limits that the endpoints have named count.
+
+        Args:
+            service: Name of the service.
+            now_s: Current time in seconds.
+
+        Returns:
+            The seconds; 0 if one takes a request now, or if none is open.
+        """
+        return min(
+            (
+                self._compute_limit_wait_s(endpoint, now_s)
+                for endpoint in self._view.list_open_endpoints(service)
+            ),
+            default=0.0,
+        )
+
     def get_connection_limit(self, endpoint: model.Endpoint) -> int:
         """Returns how many connections to an endpoint this process may open.
 
@@ -268,10 +291,11 @@
     def count_sent(self, endpoint: model.Endpoint, now_s: float) -> None:
         """Counts a request that is about to be sent to an endpoint.
 
-        It counts towards the rollout of the service and, if the endpoint is
-        cold, towards the rate limit of the endpoint.
+        It counts towards the rollout of the service, towards the limit that the
+        endpoint has named and, if the endpoint is cold, towards its rate limit.
         """
         self._view.rollouts.count_sent(endpoint)
+        self.endpoint_limits.count_sent(endpoint.endpoint_id, now_s)
         if now_s < endpoint.cold_until_s:
             self._cold_rate_limit.count_request(endpoint.endpoint_id, now_s)
 
@@ -300,6 +324,8 @@
                 endpoint, requirements.service, now_s
             ):
                 continue
+            if self._compute_limit_wait_s(endpoint, now_s):
+                continue
             load = self.load_tracker.sum_load(endpoint_id, now_s)
             if not requirements.fits(load):
                 continue
@@ -314,6 +340,14 @@
             )
         return candidates
 
+    def _compute_limit_wait_s(
+        self, endpoint: model.Endpoint, now_s: float
+    ) -> float:
+        """Returns the seconds until an endpoint takes another request."""
+        return self.endpoint_limits.compute_wait_s(
+            endpoint.endpoint_id, now_s, len(self._membership.list_members())
+        )
+
     def _is_below_cold_limit(
         self, endpoint: model.Endpoint, service: model.Service, now_s: float
     ) -> bool:
