Do not take an earlier response on a kept connection for the current one

Report of other operators: a faulty worker writes an earlier refusal once more on a kept connection; callers are told 'not run' for calls that ran (REFUSED), or such a call runs at a second worker (TWICE).

It could happen here, shown by test_repeated_responses: a repeated refusal without a request id was taken for the response to the current call, which then ran at both workers (503, 429 and 408, 3 of 3); one with an id was skipped already. Control requests took any response, also one with the id of a call.

Change: a response without an id belongs to a call only on a connection that has carried no other request; otherwise the outcome is unknown and the connection is closed. A response with an id is never taken for that to a control request. One method reads heads for both.

Before: 4 failures in test_repeated_responses; after: none; test_path, test_exchange_fuzz and the gateway's tests pass.

--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -181,19 +181,24 @@
             return conn
         is_reusable = False
         try:
-            result = conn.request(
+            deadline_s = clock.boottime() + timeout_s
+            failure = conn.send_request(
                 request.method,
                 request.target,
                 request.headers,
                 request.body,
-                client.ExchangeLimits(timeout_s, _MAX_CONTROL_BODY_BYTES),
+                timeout_s,
             )
-            if isinstance(result, errors.Failure):
-                return result
-            head, body = result
-            response_head = self._codec.decode_response_head(head)
-            is_reusable = (
-                head.has_body_framing and not response_head.closes_connection
+            if failure is not None:
+                return failure
+            head = self._read_own_head(conn, request.method, "", deadline_s)
+            if isinstance(head, errors.Failure):
+                return head
+            body = conn.read_body(deadline_s, _MAX_CONTROL_BODY_BYTES)
+            if isinstance(body, errors.Failure):
+                return body
+            is_reusable = not (
+                head.ends_with_connection or head.closes_connection
             )
             return head.status, body
         finally:
@@ -217,22 +222,54 @@
         )
         if failure is not None:
             return failure
+        response_head = self._read_own_head(
+            conn, call.method, call.request_id, head_deadline_s
+        )
+        if isinstance(response_head, errors.Failure):
+            return response_head
+        if not response_head.is_other_instance:
+            self._notices.handle(endpoint, response_head)
+        return self._check_signature(conn, endpoint, response_head)
+
+    def _read_own_head(
+        self,
+        conn: client.ClientConnection,
+        method: bytes,
+        request_id: str,
+        deadline_s: float,
+    ) -> calls.EndpointResponseHead | errors.Failure:
+        """Reads response heads until one belongs to the request just sent.
+
+        A faulty endpoint may send the response to an earlier request once more,
+        or late. The id shows which request a response belongs to. One without
+        an id belongs to a call only if the connection has carried no other
+        request.
+
+        Args:
+            conn: The connection that the request was sent on.
+            method: HTTP method of the request.
+            request_id: Id of the call; empty for a control request, whose
+                response has none.
+            deadline_s: Instant until which to wait, in seconds.
+        """
         for _ in range(_MAX_RESPONSE_HEADS):
-            head = conn.read_head(head_deadline_s)
+            head = conn.read_head(deadline_s)
             if isinstance(head, errors.Failure):
                 return head
             response_head = self._codec.decode_response_head(head)
-            if response_head.request_id in ("", call.request_id):
-                if not response_head.is_other_instance:
-                    self._notices.handle(endpoint, response_head)
-                return self._check_signature(conn, endpoint, response_head)
+            if response_head.request_id == request_id:
+                return response_head
+            if not response_head.request_id:
+                if not conn.is_reused:
+                    return response_head
+                break
             if not head.has_body_framing or not conn.skip_response(
-                call.method, head_deadline_s
+                method, deadline_s
             ):
                 break
         return errors.Failure(
             errors.Kind.ENDPOINT_FAILED,
-            "the response carries the request id of another call",
+            "the response may belong to another request",
         )
 
     def _check_signature(
--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -183,6 +183,11 @@
         self._closed = False
         self._events_since_yield = 0
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether the connection has carried an earlier request."""
+        return self.idle_since_s > self.opened_s
+
     def send_request(
         self,
         method: bytes,
