Promise that a call did not run only if the endpoint states it

Callers take 408, 429 and 503 for the promise that a call did not run. An endpoint states that in a header of its own. A signed response with such a status and without the header was passed on, so that a caller could be told 'not run' for a call that ran.

Change: such a response is a failure with unknown outcome (502).

--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -229,7 +229,7 @@
             return response_head
         if not response_head.is_other_instance:
             self._notices.handle(endpoint, response_head)
-        return self._check_signature(conn, endpoint, response_head)
+        return self._check_head(conn, endpoint, response_head)
 
     def _read_own_head(
         self,
@@ -272,16 +272,17 @@
             "the response may belong to another request",
         )
 
-    def _check_signature(
+    def _check_head(
         self,
         conn: client.ClientConnection,
         endpoint: model.Endpoint,
         response_head: calls.EndpointResponseHead,
     ) -> EndpointResponse | errors.Failure:
-        """Returns the response, or a failure if a required header is missing.
+        """Returns the response, or a failure if it must not reach the caller.
 
-        Only responses with a status below 300 need a signature and a request
-        id.
+        Responses with a status below 300 need a signature and a request id. A
+        status that callers take for the statement that the call was not run
+        needs that statement from the endpoint.
         """
         if response_head.status < 300 and not (
             response_head.has_signature and response_head.request_id
@@ -290,4 +291,10 @@
                 errors.Kind.ENDPOINT_FAILED,
                 "the response has no signature or no request id",
             )
+        if response_head.implies_not_run and not response_head.states_not_run:
+            return errors.Failure(
+                errors.Kind.ENDPOINT_FAILED,
+                f"the endpoint returned status {response_head.status} but does"
+                " not state that it did not run the call",
+            )
         return EndpointResponse(endpoint, conn, response_head)
--- a/libs/routing/src/dandelionlead/routing/calls.py
+++ b/libs/routing/src/dandelionlead/routing/calls.py
@@ -183,6 +183,8 @@
         has_signature: Whether the response has the header for the endpoint's
             signature.
         states_not_run: Whether the response states that the call was not run.
+        implies_not_run: Whether callers take the status for the statement that
+            the call was not run.
         is_other_instance: Whether another instance than the intended one has
             the address now.
         closes_connection: Whether the endpoint closes the connection after the
@@ -200,6 +202,7 @@
         "request_id",
         "has_signature",
         "states_not_run",
+        "implies_not_run",
         "is_other_instance",
         "closes_connection",
         "keep_alive_timeout_s",
@@ -216,6 +219,7 @@
         request_id: str = "",
         has_signature: bool = False,
         states_not_run: bool = False,
+        implies_not_run: bool = False,
         is_other_instance: bool = False,
         closes_connection: bool = False,
         keep_alive_timeout_s: float = 0.0,
@@ -227,6 +231,7 @@
         self.request_id = request_id
         self.has_signature = has_signature
         self.states_not_run = states_not_run
+        self.implies_not_run = implies_not_run
         self.is_other_instance = is_other_instance
         self.closes_connection = closes_connection
         self.keep_alive_timeout_s = keep_alive_timeout_s
