Check what a resumed stream sends before it counts as forwarded

Shown here by test_raw_workers: (1) a resumed stream whose first event has no id was forwarded; (2) one that ended at once made the caller's stream complete after one event; (3) one that continued at a wrong event was refused, but its events counted as forwarded, so that the next worker went on after them: the caller got events 1, 6 to 10 and a complete end.

Change: the first event of a resumed stream must have the next id, a resumed stream without an event is broken off, and the splitter is rewound to what the caller has when events are not forwarded.

--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -259,21 +259,18 @@
                     self._start_response(head)
                     self._response_writer.end_response()
                 return failure
-            previous_id = self._splitter.last_event_id
-            complete_events = self._splitter.feed(data)
+            splitter = self._splitter
+            previous_id = splitter.last_event_id
+            previous_count = splitter.event_count
+            complete_events = splitter.feed(data)
             failure = self._find_excess(complete_events)
+            if failure is None:
+                failure = self._find_wrong_order(complete_events, previous_id)
             if failure is not None:
+                splitter.rewind(previous_id, previous_count)
                 return failure
             if not complete_events:
                 continue
-            if self._must_check_order and not self._is_next_event(
-                complete_events, previous_id
-            ):
-                return errors.Failure(
-                    errors.Kind.GENERATION_LOST,
-                    "the resumed stream does not continue after the last"
-                    " forwarded event",
-                )
             if not self._response_writer.has_started:
                 self._request_crashes.record_first_event()
             self._start_response(head)
@@ -311,6 +308,11 @@
             return errors.Failure(
                 errors.Kind.ENDPOINT_FAILED, "the stream ended inside an event"
             )
+        if self._must_check_order:
+            return errors.Failure(
+                errors.Kind.ENDPOINT_FAILED,
+                "the resumed stream ended without an event",
+            )
         if not ended_response.head.ends_with_connection:
             return None
         if not self._splitter.event_count:
@@ -323,15 +325,28 @@
             )
         return None
 
-    def _is_next_event(self, complete_events: bytes, previous_id: int) -> bool:
-        """Returns whether a resumed stream continues after an event id.
+    def _find_wrong_order(
+        self, complete_events: bytes, previous_id: int
+    ) -> errors.Failure | None:
+        """Returns why events do not continue a resumed stream, or None.
 
         Resets `_must_check_order`, since only the first events after a
         resumption are checked.
+
+        Args:
+            complete_events: Bytes of complete events; may be empty.
+            previous_id: Id of the last forwarded event.
         """
+        if not self._must_check_order or not complete_events:
+            return None
         self._must_check_order = False
-        event_id = sse.find_first_event_id(complete_events)
-        return event_id is None or event_id == previous_id + 1
+        if sse.find_first_event_id(complete_events) == previous_id + 1:
+            return None
+        return errors.Failure(
+            errors.Kind.GENERATION_LOST,
+            "the resumed stream does not continue after the last"
+            " forwarded event",
+        )
 
     def _start_response(self, head: calls.EndpointResponseHead) -> None:
         """Sends the response head to the caller unless it was sent already.
--- a/libs/http/src/dandelionlead/http/sse.py
+++ b/libs/http/src/dandelionlead/http/sse.py
@@ -57,16 +57,26 @@
             self.event_count += len(ids)
         return complete_events
 
+    def rewind(self, last_event_id: int, event_count: int) -> None:
+        """Forgets the last events, which were not forwarded.
+
+        Args:
+            last_event_id: `last_event_id` before these events.
+            event_count: `event_count` before these events.
+        """
+        self.last_event_id = last_event_id
+        self.event_count = event_count
+
     def drop_incomplete_event(self) -> None:
         """Drops the incomplete event; another endpoint will send it again."""
         self._incomplete = b""
 
 
 def find_first_event_id(events: bytes) -> int | None:
-    """Returns the id of the first event that has one, or None.
+    """Returns the id of the first event; None if it has none.
 
     Args:
         events: Bytes of complete events.
     """
-    match = _ID_LINE.search(events)
+    match = _ID_LINE.search(events, 0, events.find(EVENT_END) + 1)
     return int(match.group(1)) if match else None
