Name the start of an endpoint in notices that it leaves

A heartbeat lists endpoints that leave by their ids. A peer's heartbeat that arrives after an endpoint has started again under its id marks the new start as leaving, and for good: all peers repeat it to each other.

Change: heartbeats name endpoint and start; a notice for another start than that of the present entry is ignored. The ids alone are still sent, for processes of older builds, and read from them.

--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -32,6 +32,13 @@
   5: i32 recent_count
 }
 
+// One start of an endpoint that is about to shut down.
+struct LeavingEndpoint {
+  1: string endpoint_id
+  // The endpoint and its start.
+  2: string incarnation
+}
+
 // A crash of an endpoint while it ran a request with this fingerprint.
 struct CrashMark {
   1: string fingerprint
@@ -117,7 +124,7 @@
   // negative if it was never confirmed.
   11: i32 confirmed_ms_ago
   12: list<EndpointLoad> loads
-  // Ids of endpoints that are about to shut down.
+  // Ids of endpoints that are about to shut down, for processes of older builds.
   13: list<string> leaving
   14: list<CrashMark> crashes
   15: list<VersionCount> versions
@@ -134,6 +141,8 @@
   // Those sound parts that were suspected because of a crash.
   21: list<SoundPart> sound_parts
   22: list<EndpointLimit> limits
+  // The endpoints of `leaving`, each with its start.
+  23: list<LeavingEndpoint> leaving_endpoints
 }
 
 // Loads of those endpoints whose load changed since the last message.
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -248,6 +248,86 @@
         return not (self == other)
 
 
+class LeavingEndpoint(object):
+    """
+    Attributes:
+     - endpoint_id
+     - incarnation
+
+    """
+
+    __slots__ = (
+        'endpoint_id',
+        'incarnation',
+    )
+
+
+    def __init__(self, endpoint_id=None, incarnation=None,):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingEndpoint')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class CrashMark(object):
     """
     Attributes:
@@ -893,6 +973,7 @@
      - prompt_crashes
      - sound_parts
      - limits
+     - leaving_endpoints
 
     """
 
@@ -919,10 +1000,11 @@
         'prompt_crashes',
         'sound_parts',
         'limits',
+        'leaving_endpoints',
     )
 
 
-    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None, doubtful=None, prompt_crashes=None, sound_parts=None, limits=None,):
+    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None, doubtful=None, prompt_crashes=None, sound_parts=None, limits=None, leaving_endpoints=None,):
         self.node = node
         self.incarnation = incarnation
         self.sequence = sequence
@@ -945,6 +1027,7 @@
         self.prompt_crashes = prompt_crashes
         self.sound_parts = sound_parts
         self.limits = limits
+        self.leaving_endpoints = leaving_endpoints
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1123,6 +1206,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.LIST:
+                    self.leaving_endpoints = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = LeavingEndpoint()
+                        _elem72.read(iprot)
+                        self.leaving_endpoints.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1180,36 +1274,36 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter67 in self.loads:
-                iter67.write(oprot)
+            for iter73 in self.loads:
+                iter73.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter68 in self.leaving:
-                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
+            for iter74 in self.leaving:
+                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter69 in self.crashes:
-                iter69.write(oprot)
+            for iter75 in self.crashes:
+                iter75.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter70 in self.versions:
-                iter70.write(oprot)
+            for iter76 in self.versions:
+                iter76.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_hosts is not None:
             oprot.writeFieldBegin('known_hosts', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter71 in self.known_hosts:
-                oprot.writeString(iter71.encode('utf-8') if sys.version_info[0] == 2 else iter71)
+            for iter77 in self.known_hosts:
+                oprot.writeString(iter77.encode('utf-8') if sys.version_info[0] == 2 else iter77)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read_ms_ago is not None:
@@ -1219,36 +1313,43 @@
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter72 in self.verdicts:
-                iter72.write(oprot)
+            for iter78 in self.verdicts:
+                iter78.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.doubtful is not None:
             oprot.writeFieldBegin('doubtful', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.doubtful))
-            for iter73 in self.doubtful:
-                iter73.write(oprot)
+            for iter79 in self.doubtful:
+                iter79.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompt_crashes is not None:
             oprot.writeFieldBegin('prompt_crashes', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.prompt_crashes))
-            for iter74 in self.prompt_crashes:
-                iter74.write(oprot)
+            for iter80 in self.prompt_crashes:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound_parts is not None:
             oprot.writeFieldBegin('sound_parts', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.sound_parts))
-            for iter75 in self.sound_parts:
-                iter75.write(oprot)
+            for iter81 in self.sound_parts:
+                iter81.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter76 in self.limits:
-                iter76.write(oprot)
+            for iter82 in self.limits:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.leaving_endpoints is not None:
+            oprot.writeFieldBegin('leaving_endpoints', TType.LIST, 23)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving_endpoints))
+            for iter83 in self.leaving_endpoints:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1330,22 +1431,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype80, _size77) = iprot.readListBegin()
-                    for _i81 in range(_size77):
-                        _elem82 = EndpointLoad()
-                        _elem82.read(iprot)
-                        self.loads.append(_elem82)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = EndpointLoad()
+                        _elem89.read(iprot)
+                        self.loads.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype86, _size83) = iprot.readListBegin()
-                    for _i87 in range(_size83):
-                        _elem88 = EndpointLimit()
-                        _elem88.read(iprot)
-                        self.limits.append(_elem88)
+                    (_etype93, _size90) = iprot.readListBegin()
+                    for _i94 in range(_size90):
+                        _elem95 = EndpointLimit()
+                        _elem95.read(iprot)
+                        self.limits.append(_elem95)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1374,15 +1475,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter89 in self.loads:
-                iter89.write(oprot)
+            for iter96 in self.loads:
+                iter96.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter90 in self.limits:
-                iter90.write(oprot)
+            for iter97 in self.limits:
+                iter97.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1563,11 +1664,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = Row()
-                        _elem96.read(iprot)
-                        self.rows.append(_elem96)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = Row()
+                        _elem103.read(iprot)
+                        self.rows.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1602,8 +1703,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter97 in self.rows:
-                iter97.write(oprot)
+            for iter104 in self.rows:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1669,11 +1770,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.known_versions = {}
-                    (_ktype99, _vtype100, _size98) = iprot.readMapBegin()
-                    for _i102 in range(_size98):
-                        _key103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val104 = iprot.readI64()
-                        self.known_versions[_key103] = _val104
+                    (_ktype106, _vtype107, _size105) = iprot.readMapBegin()
+                    for _i109 in range(_size105):
+                        _key110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val111 = iprot.readI64()
+                        self.known_versions[_key110] = _val111
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1695,9 +1796,9 @@
         if self.known_versions is not None:
             oprot.writeFieldBegin('known_versions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.known_versions))
-            for kiter105, viter106 in self.known_versions.items():
-                oprot.writeString(kiter105.encode('utf-8') if sys.version_info[0] == 2 else kiter105)
-                oprot.writeI64(viter106)
+            for kiter112, viter113 in self.known_versions.items():
+                oprot.writeString(kiter112.encode('utf-8') if sys.version_info[0] == 2 else kiter112)
+                oprot.writeI64(viter113)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.accepts_compression is not None:
@@ -1759,11 +1860,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype110, _size107) = iprot.readListBegin()
-                    for _i111 in range(_size107):
-                        _elem112 = Table()
-                        _elem112.read(iprot)
-                        self.tables.append(_elem112)
+                    (_etype117, _size114) = iprot.readListBegin()
+                    for _i118 in range(_size114):
+                        _elem119 = Table()
+                        _elem119.read(iprot)
+                        self.tables.append(_elem119)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1785,8 +1886,8 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter113 in self.tables:
-                iter113.write(oprot)
+            for iter120 in self.tables:
+                iter120.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_busy is not None:
@@ -1834,6 +1935,12 @@
     (4, TType.I64, 'sent_count', None, None, ),  # 4
     (5, TType.I32, 'recent_count', None, None, ),  # 5
 )
+all_structs.append(LeavingEndpoint)
+LeavingEndpoint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'endpoint_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+)
 all_structs.append(CrashMark)
 CrashMark.thrift_spec = (
     None,  # 0
@@ -1906,6 +2013,7 @@
     (20, TType.LIST, 'prompt_crashes', (TType.STRUCT, [PromptCrash, None], False), None, ),  # 20
     (21, TType.LIST, 'sound_parts', (TType.STRUCT, [SoundPart, None], False), None, ),  # 21
     (22, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 22
+    (23, TType.LIST, 'leaving_endpoints', (TType.STRUCT, [LeavingEndpoint, None], False), None, ),  # 23
 )
 all_structs.append(LoadChange)
 LoadChange.thrift_spec = (
--- a/libs/gateway/src/dandelionlead/gateway/heartbeats.py
+++ b/libs/gateway/src/dandelionlead/gateway/heartbeats.py
@@ -122,6 +122,7 @@
         self._sequence += 1
         now_s = clock.boottime()
         identity, state = self._identity, self._process_state
+        leaving = state.view.list_leaving()
         return ttypes.Heartbeat(
             node=identity.name,
             incarnation=identity.incarnation,
@@ -145,7 +146,13 @@
                     state.scheduler.load_tracker.get_own_loads().items()
                 )
             ],
-            leaving=state.view.list_leaving_ids(),
+            leaving=[endpoint.endpoint_id for endpoint in leaving],
+            leaving_endpoints=[
+                ttypes.LeavingEndpoint(
+                    endpoint.endpoint_id, endpoint.incarnation
+                )
+                for endpoint in leaving
+            ],
             crashes=[
                 ttypes.CrashMark(fingerprint, endpoint_id)
                 for fingerprint, endpoint_id in (
@@ -245,8 +252,7 @@
             _decode_sound_parts(heartbeat, now_s),
             now_s,
         )
-        for endpoint_id in heartbeat.leaving:
-            process_state.view.mark_leaving(endpoint_id)
+        self._apply_leaving(heartbeat)
         if (
             heartbeat.orders_version > process_state.orders_table.version
             or heartbeat.endpoints_version
@@ -254,6 +260,19 @@
         ):
             self._on_newer_table(heartbeat.host)
 
+    def _apply_leaving(self, heartbeat: ttypes.Heartbeat) -> None:
+        """Marks the endpoints that a peer lists as leaving.
+
+        A peer of an older build lists their ids alone.
+        """
+        view = self._process_state.view
+        if heartbeat.leaving_endpoints is None:
+            for endpoint_id in heartbeat.leaving:
+                view.mark_leaving(endpoint_id)
+            return
+        for item in heartbeat.leaving_endpoints:
+            view.mark_leaving(item.endpoint_id, incarnation=item.incarnation)
+
     def _apply_limits(
         self, message: ttypes.Heartbeat | ttypes.LoadChange
     ) -> None:
--- a/libs/routing/src/dandelionlead/routing/routing_view.py
+++ b/libs/routing/src/dandelionlead/routing/routing_view.py
@@ -167,7 +167,11 @@
             del self.endpoints[endpoint_id]
 
     def mark_leaving(
-        self, endpoint_id: str, *, entry_removed: bool = False
+        self,
+        endpoint_id: str,
+        *,
+        incarnation: str = "",
+        entry_removed: bool = False,
     ) -> None:
         """Marks an endpoint as leaving.
 
@@ -176,12 +180,17 @@
 
         Args:
             endpoint_id: Id of the endpoint.
+            incarnation: Incarnation that is leaving. The notice is ignored if
+                the present entry belongs to another one, because it may be
+                late. If empty, that of the present entry.
             entry_removed: Whether the reason is that its entry was removed,
                 instead of a leaving notice or a draining entry.
         """
         endpoint = self.endpoints.get(endpoint_id)
         if endpoint is None:
             return
+        if incarnation and incarnation != endpoint.incarnation:
+            return
         departure = self._departures.get(endpoint_id)
         if (
             departure is not None
@@ -199,14 +208,14 @@
         for listener in self.leaving_listeners:
             listener(endpoint_id)
 
-    def list_leaving_ids(self) -> list[str]:
-        """Returns the ids of leaving endpoints that still have an entry.
+    def list_leaving(self) -> list[model.Endpoint]:
+        """Returns the entries of leaving endpoints that still have one.
 
         Departures that were recorded only because an entry was removed are left
         out.
         """
         return [
-            endpoint_id
+            self.endpoints[endpoint_id]
             for endpoint_id, departure in self._departures.items()
             if not departure.only_entry_removed
             and endpoint_id in self.endpoints
--- a/libs/routing/tests/test_view_fuzz.py
+++ b/libs/routing/tests/test_view_fuzz.py
@@ -74,6 +74,33 @@
         if entry is not None:
             self.leaving.add((endpoint_id, entry.started_unix_ms))
 
+    @hypothesis.stateful.rule(
+        endpoint_id=_ids, starts_ago=strategies.integers(0, 2)
+    )
+    def peer_names_the_start_that_leaves(
+        self, endpoint_id: str, starts_ago: int
+    ) -> None:
+        """The notice may be late, so that the endpoint has started again."""
+        started_unix_ms = self.started_unix_ms[endpoint_id] - starts_ago
+        self.view.mark_leaving(
+            endpoint_id, incarnation=f"{endpoint_id}@{started_unix_ms}"
+        )
+        entry = self.entries.get(endpoint_id)
+        if entry is not None and entry.started_unix_ms == started_unix_ms:
+            self.leaving.add((endpoint_id, started_unix_ms))
+
+    @hypothesis.stateful.invariant()
+    def check_that_only_leaving_endpoints_are_left_out(self) -> None:
+        open_ids = {
+            item.endpoint_id for item in self.view.list_open_endpoints("s")
+        }
+        for endpoint_id, entry in self.entries.items():
+            if (
+                self._is_staying(entry)
+                and entry.availability_zone not in self.closed_s
+            ):
+                assert endpoint_id in open_ids, endpoint_id
+
     @hypothesis.stateful.rule(zone=_zones)
     def zone_is_closed(self, zone: str) -> None:
         self.view.close_zone(zone, self.now_s)
