--- a/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
@@ -7,19 +7,25 @@
 from dandelionlead.routing import calls
 from dandelionlead.routing import endpoint_limits
 from dandelionlead.routing import model
+from dandelionlead.routing import routing_view
 
 
 class EndpointNotices:
     """Handles the notices in the response heads of endpoints.
 
     Args:
+        view: Records which endpoints are leaving.
         limits: Receives the limits that endpoints name.
-        log: Receives a line for each limit that an endpoint names anew.
+        log: Receives a line for each new notice.
     """
 
     def __init__(
-        self, limits: endpoint_limits.EndpointLimits, log: events.Log
+        self,
+        view: routing_view.RoutingView,
+        limits: endpoint_limits.EndpointLimits,
+        log: events.Log,
     ) -> None:
+        self._view = view
         self._limits = limits
         self._log = log
 
@@ -32,6 +38,8 @@
             endpoint: The endpoint that the call was sent to.
             head: Head of its response.
         """
+        if head.is_leaving:
+            self._mark_leaving(endpoint)
         limit = head.max_requests_per_s
         has_changed = self._limits.record_named(
             endpoint.endpoint_id, limit, clock.boottime()
@@ -42,3 +50,10 @@
                 endpoint=endpoint.endpoint_id,
                 per_s="none" if limit is None else limit,
             )
+
+    def _mark_leaving(self, endpoint: model.Endpoint) -> None:
+        """Marks the start of an endpoint that has responded as leaving."""
+        endpoint_id = endpoint.endpoint_id
+        if not self._view.is_leaving(endpoint_id):
+            self._log.event("endpoint_says_it_leaves", endpoint=endpoint_id)
+        self._view.mark_leaving(endpoint_id, incarnation=endpoint.incarnation)
--- a/libs/routing/src/dandelionlead/routing/calls.py
+++ b/libs/routing/src/dandelionlead/routing/calls.py
@@ -195,6 +195,7 @@
             connection, instead of at a length or an end mark.
         max_requests_per_s: Requests per second that the endpoint takes from all
             processes together; None if it names no limit.
+        is_leaving: Whether the endpoint states that it is leaving.
     """
 
     __slots__ = (
@@ -208,6 +209,7 @@
         "keep_alive_timeout_s",
         "ends_with_connection",
         "max_requests_per_s",
+        "is_leaving",
         "headers",
     )
 
@@ -225,6 +227,7 @@
         keep_alive_timeout_s: float = 0.0,
         ends_with_connection: bool = False,
         max_requests_per_s: float | None = None,
+        is_leaving: bool = False,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -237,6 +240,7 @@
         self.keep_alive_timeout_s = keep_alive_timeout_s
         self.ends_with_connection = ends_with_connection
         self.max_requests_per_s = max_requests_per_s
+        self.is_leaving = is_leaving
 
 
 class MemoryCopy:
