Send nothing to an endpoint for the time that it asks for

Change: the process that was turned away does not choose the endpoint until the time has passed. The pause is not shared, because the endpoint asked this process alone. One run whose KV cache is there may still resume. If all endpoints pause, the call is refused at once with the time until the first one takes a request; a generation does not queue if that is later than it may wait.

--- a/libs/gateway/src/dandelionlead/gateway/endpoint_finder.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_finder.py
@@ -88,6 +88,11 @@
                     )
                     if endpoint is not None:
                         return endpoint
+                    wait_s = self._scheduler.compute_limit_wait_s(
+                        service_name, now_s
+                    )
+                    if now_s + wait_s >= entry.reject_at_s:
+                        return None
                 eventlet.sleep(_POLL_INTERVAL_S)
             return None
         finally:
--- a/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
@@ -40,9 +40,17 @@
         """
         if head.is_leaving:
             self._mark_leaving(endpoint)
+        now_s = clock.boottime()
+        if head.pause_s:
+            self._limits.pause(endpoint.endpoint_id, now_s + head.pause_s)
+            self._log.event(
+                "endpoint_pause",
+                endpoint=endpoint.endpoint_id,
+                pause_s=head.pause_s,
+            )
         limit = head.max_requests_per_s
         has_changed = self._limits.record_named(
-            endpoint.endpoint_id, limit, clock.boottime()
+            endpoint.endpoint_id, limit, now_s
         )
         if has_changed:
             self._log.event(
--- a/libs/gateway/src/dandelionlead/gateway/supervisor.py
+++ b/libs/gateway/src/dandelionlead/gateway/supervisor.py
@@ -111,12 +111,17 @@
         )
 
     def can_resume_at(self, endpoint: model.Endpoint) -> bool:
-        """Returns whether a run may resume at an engine.
+        """Returns whether a run may resume at an engine now.
 
         Args:
             endpoint: An engine that holds the run's KV cache.
         """
-        return self._view.is_in_usable_zone(endpoint, clock.boottime())
+        now_s = clock.boottime()
+        return self._view.is_in_usable_zone(
+            endpoint, now_s
+        ) and self._scheduler.endpoint_limits.try_resume(
+            endpoint.endpoint_id, now_s
+        )
 
     def assign_backup(self, run: runs.Run) -> None:
         """Chooses the engine that keeps a backup of a run.
--- a/libs/routing/src/dandelionlead/routing/calls.py
+++ b/libs/routing/src/dandelionlead/routing/calls.py
@@ -196,6 +196,8 @@
         max_requests_per_s: Requests per second that the endpoint takes from all
             processes together; None if it names no limit.
         is_leaving: Whether the endpoint states that it is leaving.
+        pause_s: Seconds for which the endpoint wants no more requests from this
+            process; 0 if it does not state this.
     """
 
     __slots__ = (
@@ -210,6 +212,7 @@
         "ends_with_connection",
         "max_requests_per_s",
         "is_leaving",
+        "pause_s",
         "headers",
     )
 
@@ -228,6 +231,7 @@
         ends_with_connection: bool = False,
         max_requests_per_s: float | None = None,
         is_leaving: bool = False,
+        pause_s: float = 0.0,
     ) -> None:
         self.status = status
         self.headers = headers
@@ -241,6 +245,7 @@
         self.ends_with_connection = ends_with_connection
         self.max_requests_per_s = max_requests_per_s
         self.is_leaving = is_leaving
+        self.pause_s = pause_s
 
 
 class MemoryCopy:
--- a/libs/routing/src/dandelionlead/routing/endpoint_limits.py
+++ b/libs/routing/src/dandelionlead/routing/endpoint_limits.py
@@ -6,6 +6,8 @@
 all. What is counted may be a few milliseconds old; each process therefore also
 keeps to its own part of the limit, so that the sum stays bounded if messages
 are lost.
+
+An endpoint may also ask one process to send it nothing for some time.
 """
 
 from __future__ import annotations
@@ -24,6 +26,9 @@
 # Time for which a limit that has ended is kept, so that a late message of a
 # peer does not bring it back. In seconds.
 _ENDED_LIMIT_AGE_S = 10.0
+# Requests that may be sent during a pause that the endpoint asked for, if a run
+# is lost otherwise.
+_MAX_RESUMPTIONS_IN_PAUSE = 1
 
 
 class LimitReport:
@@ -125,8 +130,23 @@
         )
 
 
+class _Pause:
+    """A time in which an endpoint wants no requests from this process.
+
+    Attributes:
+        until_s: End of the pause in seconds.
+        resumption_count: Requests to resume a run that were sent in it.
+    """
+
+    __slots__ = ("until_s", "resumption_count")
+
+    def __init__(self, until_s: float) -> None:
+        self.until_s = until_s
+        self.resumption_count = 0
+
+
 class EndpointLimits:
-    """Limits that endpoints have named, and the requests that count.
+    """Limits and pauses that endpoints have stated.
 
     Attributes:
         change_listener: Callback that receives the id of an endpoint after each
@@ -136,7 +156,9 @@
 
     def __init__(self) -> None:
         self.change_listener: Callable[[str], None] = _ignore
+        # Limits and pauses by endpoint id.
         self._limits: dict[str, _Limit] = {}
+        self._pauses: dict[str, _Pause] = {}
 
     def record_named(
         self, endpoint_id: str, requests_per_s: float | None, now_s: float
@@ -173,6 +195,18 @@
         limit.all_times.append(now_s)
         self.change_listener(endpoint_id)
 
+    def pause(self, endpoint_id: str, until_s: float) -> None:
+        """Records that an endpoint wants nothing from this process for a time.
+
+        Args:
+            endpoint_id: Id of the endpoint.
+            until_s: End of that time in seconds. An earlier end than one that
+                was recorded before has no effect.
+        """
+        known = self._pauses.get(endpoint_id)
+        if known is None or known.until_s < until_s:
+            self._pauses[endpoint_id] = _Pause(until_s)
+
     def compute_wait_s(
         self, endpoint_id: str, now_s: float, process_count: int
     ) -> float:
@@ -186,10 +220,28 @@
         Returns:
             The seconds; 0 if it may get a request now.
         """
+        wait_s = 0.0
+        pause = self._pauses.get(endpoint_id)
+        if pause is not None:
+            wait_s = max(0.0, pause.until_s - now_s)
         limit = self._limits.get(endpoint_id)
-        if limit is None:
-            return 0.0
-        return limit.compute_wait_s(now_s, process_count)
+        if limit is not None:
+            wait_s = max(wait_s, limit.compute_wait_s(now_s, process_count))
+        return wait_s
+
+    def try_resume(self, endpoint_id: str, now_s: float) -> bool:
+        """Returns whether a run may be resumed at an endpoint, and counts it.
+
+        A resumption saves a run whose KV cache is there. It counts towards the
+        limit but need not wait for it; few are allowed during a pause.
+        """
+        pause = self._pauses.get(endpoint_id)
+        if pause is None or now_s >= pause.until_s:
+            return True
+        if pause.resumption_count >= _MAX_RESUMPTIONS_IN_PAUSE:
+            return False
+        pause.resumption_count += 1
+        return True
 
     def list_reports(
         self, now_s: float, endpoint_ids: set[str] | None = None
@@ -244,13 +296,18 @@
         limit.all_times.extend([now_s] * max(0, new_count))
 
     def _drop_ended(self, now_s: float) -> None:
-        """Drops limits that ended long ago."""
+        """Drops limits that ended long ago, and pauses that have ended."""
         self._limits = {
             endpoint_id: limit
             for endpoint_id, limit in self._limits.items()
             if limit.requests_per_s is not None
             or now_s - limit.named_s < _ENDED_LIMIT_AGE_S
         }
+        self._pauses = {
+            endpoint_id: pause
+            for endpoint_id, pause in self._pauses.items()
+            if now_s < pause.until_s
+        }
 
 
 def _compute_window_wait_s(
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -97,7 +97,7 @@
         prefill_rate: Rate at which engines read prompts.
         crash_tracker: Requests that crash endpoints.
         prompt_crash_tracker: Parts of prompts that crash engines.
-        endpoint_limits: Limits that endpoints have named.
+        endpoint_limits: Limits and pauses that endpoints have stated.
         operator_policy: Operator settings for the migration, backup and
             queueing of runs.
     """
@@ -190,7 +190,7 @@
     def compute_limit_wait_s(self, service: str, now_s: float) -> float:
         """Returns the seconds until an endpoint of a service takes a request.
 
-        Only the limits that the endpoints have named count.
+        Only the limits and pauses that the endpoints have stated count.
 
         Args:
             service: Name of the service.
--- a/libs/routing/tests/test_endpoint_limits.py
+++ b/libs/routing/tests/test_endpoint_limits.py
@@ -211,5 +211,29 @@
         self.assertEqual(limits.compute_wait_s("e", 4.5, 1), 0.0)
 
 
+class PauseTest(unittest.TestCase):
+    """An endpoint gets nothing from this process while it wants nothing."""
+
+    def test_pause_ends_in_time(self) -> None:
+        limits = endpoint_limits.EndpointLimits()
+        limits.pause("e", 5.0)
+        limits.pause("e", 3.0)
+        self.assertEqual(limits.compute_wait_s("e", 2.0, 1), 3.0)
+        self.assertEqual(limits.compute_wait_s("f", 2.0, 1), 0.0)
+        self.assertEqual(limits.compute_wait_s("e", 5.0, 1), 0.0)
+
+    def test_few_runs_resume_during_a_pause(self) -> None:
+        limits = endpoint_limits.EndpointLimits()
+        self.assertTrue(limits.try_resume("e", 1.0))
+        limits.pause("e", 5.0)
+        allowed = [limits.try_resume("e", 2.0) for _ in range(5)]
+        # The rule allows two requests.
+        self.assertLessEqual(sum(allowed), 2)
+        limits.pause("e", 6.0)
+        allowed += [limits.try_resume("e", 3.0) for _ in range(5)]
+        self.assertLessEqual(sum(allowed), 2)
+        self.assertTrue(limits.try_resume("e", 6.0))
+
+
 if __name__ == "__main__":
     unittest.main()
