Move the checks of streams out of the relay

Behaviour is meant to be unchanged: test_raw_workers, test_migrations and the gateway's other tests pass (62).

--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -15,10 +15,10 @@
 from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sending
+from dandelionlead.gateway import stream_checks
 from dandelionlead.gateway import supervisor
 from dandelionlead.http import client
 from dandelionlead.http import server
-from dandelionlead.http import sse
 from dandelionlead.routing import calls
 from dandelionlead.routing import loads
 from dandelionlead.routing import model
@@ -42,11 +42,6 @@
 # Time for which a silent engine keeps its run while another engine is asked to
 # resume it. It is shorter than the time for which both may work on the run.
 _MAX_OVERLAP_S = 0.35
-# Largest event. More bytes without the end of an event are no event.
-_MAX_EVENT_BYTES = 32_768
-# Number of events that a stream may have beyond one for each output token, for
-# events without a token.
-_MAX_ADDITIONAL_EVENTS = 1_000
 # Limit on the attempts to resume one run.
 _MAX_RESUMPTIONS = 12
 
@@ -122,9 +117,9 @@
         self._run = run
         self._response_writer = response_writer
         self._request_crashes = request_crashes
-        self._splitter = sse.EventSplitter(run.admitted.call.last_event_id)
-        self._must_check_order = False
-        self._received_event_count = 0
+        self._stream_checks = stream_checks.StreamChecks(
+            run.admitted.call.last_event_id, run.admitted.call.max_output_tokens
+        )
         # Ids of the engines whose responses broke off or that could not resume
         # the run. No new run is started on them.
         self._failed_ids: set[str] = set()
@@ -196,7 +191,7 @@
         self._run_supervisor.drop_copy(run)
         self._run_supervisor.drop_backup(run)
         self._scheduler.load_tracker.release(run.reservation)
-        self.outcome.event_count = self._splitter.event_count
+        self.outcome.event_count = self._stream_checks.event_count
         self.outcome.resumption_count = run.resumption_count
         self.outcome.last_endpoint_id = run.endpoint.endpoint_id
 
@@ -259,16 +254,9 @@
                     self._start_response(head)
                     self._response_writer.end_response()
                 return failure
-            splitter = self._splitter
-            previous_id = splitter.last_event_id
-            previous_count = splitter.event_count
-            complete_events = splitter.feed(data)
-            failure = self._find_excess(complete_events)
-            if failure is None:
-                failure = self._find_wrong_order(complete_events, previous_id)
-            if failure is not None:
-                splitter.rewind(previous_id, previous_count)
-                return failure
+            complete_events = self._stream_checks.accept(data)
+            if isinstance(complete_events, errors.Failure):
+                return complete_events
             if not complete_events:
                 continue
             if not self._response_writer.has_started:
@@ -276,26 +264,6 @@
             self._start_response(head)
             self._write(complete_events)
 
-    def _find_excess(self, complete_events: bytes) -> errors.Failure | None:
-        """Returns why the bytes that arrived are no stream of events, or None.
-
-        A faulty engine may send bytes without end.
-        """
-        if len(self._splitter.incomplete_event) > _MAX_EVENT_BYTES:
-            return errors.Failure(
-                errors.Kind.ENDPOINT_FAILED, "an event exceeds the size limit"
-            )
-        self._received_event_count += complete_events.count(sse.EVENT_END)
-        max_output_tokens = self._run.admitted.call.max_output_tokens
-        if max_output_tokens and self._received_event_count > (
-            max_output_tokens + _MAX_ADDITIONAL_EVENTS
-        ):
-            return errors.Failure(
-                errors.Kind.ENDPOINT_FAILED,
-                "the stream has more events than output tokens",
-            )
-        return None
-
     def _find_truncation(
         self, ended_response: sending.EndpointResponse
     ) -> errors.Failure | None:
@@ -304,50 +272,17 @@
         A body that ends with the connection also ends so if the engine breaks
         it off, or if the final copy for a migration stops the run.
         """
-        if self._splitter.incomplete_event:
-            return errors.Failure(
-                errors.Kind.ENDPOINT_FAILED, "the stream ended inside an event"
-            )
-        if self._must_check_order:
-            return errors.Failure(
-                errors.Kind.ENDPOINT_FAILED,
-                "the resumed stream ended without an event",
-            )
-        if not ended_response.head.ends_with_connection:
-            return None
-        if not self._splitter.event_count:
-            return errors.Failure(
-                errors.Kind.ENDPOINT_FAILED, "the stream ended without an event"
-            )
+        failure = self._stream_checks.find_truncation(
+            ends_with_connection=ended_response.head.ends_with_connection
+        )
+        if failure is not None or not ended_response.head.ends_with_connection:
+            return failure
         if self._run.stop_event is not None and self._await_stop():
             return errors.Failure(
                 errors.Kind.ENDPOINT_FAILED, "the run was stopped to migrate it"
             )
         return None
 
-    def _find_wrong_order(
-        self, complete_events: bytes, previous_id: int
-    ) -> errors.Failure | None:
-        """Returns why events do not continue a resumed stream, or None.
-
-        Resets `_must_check_order`, since only the first events after a
-        resumption are checked.
-
-        Args:
-            complete_events: Bytes of complete events; may be empty.
-            previous_id: Id of the last forwarded event.
-        """
-        if not self._must_check_order or not complete_events:
-            return None
-        self._must_check_order = False
-        if sse.find_first_event_id(complete_events) == previous_id + 1:
-            return None
-        return errors.Failure(
-            errors.Kind.GENERATION_LOST,
-            "the resumed stream does not continue after the last"
-            " forwarded event",
-        )
-
     def _start_response(self, head: calls.EndpointResponseHead) -> None:
         """Sends the response head to the caller unless it was sent already.
 
@@ -436,7 +371,7 @@
         self.outcome.failure = failure
         if clock.boottime() >= run.admitted.deadline_s:
             return None
-        self._splitter.drop_incomplete_event()
+        self._stream_checks.drop_incomplete_event()
         self._failed_ids.add(run.endpoint.endpoint_id)
         if run.stop_event is not None:
             self._await_stop()
@@ -496,7 +431,7 @@
         closing.cancel()
         if response is not None:
             source_response.close()
-            self._splitter.drop_incomplete_event()
+            self._stream_checks.drop_incomplete_event()
             return response
         if source_response.is_closed:
             return None
@@ -506,7 +441,7 @@
             "run_kept",
             req=self._run.request_id,
             endpoint=source.endpoint_id,
-            after=self._splitter.last_event_id,
+            after=self._stream_checks.last_event_id,
         )
         return source_response
 
@@ -559,7 +494,7 @@
         if copy is None or target is None:
             return None
         resumption = calls.ResumePoint(
-            source.address, copy.handle, self._splitter.last_event_id
+            source.address, copy.handle, self._stream_checks.last_event_id
         )
         reservation, run.copy_reservation = run.copy_reservation, None
         run.memory_copy = run.copy_target = None
@@ -589,7 +524,7 @@
         if target is None:
             return None
         resumption = calls.ResumePoint(
-            target.address, run.request_id, self._splitter.last_event_id
+            target.address, run.request_id, self._stream_checks.last_event_id
         )
         self._run_supervisor.drop_backup(run)
         if not self._run_supervisor.can_resume_at(target):
@@ -625,7 +560,9 @@
             service_name, now_s
         ):
             return None
-        resumption = calls.ResumePoint(None, "", self._splitter.last_event_id)
+        resumption = calls.ResumePoint(
+            None, "", self._stream_checks.last_event_id
+        )
         reservation = self._scheduler.load_tracker.reserve(
             target.endpoint_id, run.memory_tokens, admitted.call.prompt_tokens
         )
@@ -682,6 +619,6 @@
         if failure is not None:
             self._failed_ids.add(target.endpoint_id)
             return None
-        self._must_check_order = self._splitter.event_count > 0
+        self._stream_checks.begin_resumed_stream()
         self._run_supervisor.register(run)
         return response
--- /dev/null
+++ b/libs/gateway/src/dandelionlead/gateway/stream_checks.py
@@ -0,0 +1,145 @@
+"""Splits a generation's stream into events and checks them.
+
+The stream may come from several engines in turn, if the run is resumed.
+"""
+
+from __future__ import annotations
+
+from dandelionlead.core import errors
+from dandelionlead.http import sse
+
+# Largest event. More bytes without the end of an event are no event.
+_MAX_EVENT_BYTES = 32_768
+# Number of events that a stream may have beyond one for each output token, for
+# events without a token.
+_MAX_ADDITIONAL_EVENTS = 1_000
+
+
+class StreamChecks:
+    """Checks of the streams that engines send for one generation.
+
+    Args:
+        last_event_id: Id of the last event that the caller has already
+            received; 0 for none.
+        max_output_tokens: Largest number of tokens that the generation may
+            have; 0 if it is not known.
+    """
+
+    __slots__ = (
+        "_splitter",
+        "_max_output_tokens",
+        "_received_event_count",
+        "_is_first_after_resumption",
+    )
+
+    def __init__(self, last_event_id: int, max_output_tokens: int) -> None:
+        self._splitter = sse.EventSplitter(last_event_id)
+        self._max_output_tokens = max_output_tokens
+        self._received_event_count = 0
+        self._is_first_after_resumption = False
+
+    @property
+    def last_event_id(self) -> int:
+        """Id of the last event that was accepted."""
+        return self._splitter.last_event_id
+
+    @property
+    def event_count(self) -> int:
+        """Number of events with an id that were accepted."""
+        return self._splitter.event_count
+
+    def accept(self, data: bytes) -> bytes | errors.Failure:
+        """Adds bytes of a stream.
+
+        Args:
+            data: The next bytes; they may end in the middle of an event.
+
+        Returns:
+            The bytes of the events that are now complete, to be forwarded; may
+            be empty. Or why the bytes are not accepted; no event of them
+            counts then.
+        """
+        splitter = self._splitter
+        previous_id, previous_count = (
+            splitter.last_event_id,
+            splitter.event_count,
+        )
+        complete_events = splitter.feed(data)
+        failure = self._find_excess(complete_events)
+        if failure is None:
+            failure = self._find_wrong_order(complete_events, previous_id)
+        if failure is None:
+            return complete_events
+        splitter.rewind(previous_id, previous_count)
+        return failure
+
+    def find_truncation(
+        self, *, ends_with_connection: bool
+    ) -> errors.Failure | None:
+        """Returns why a stream that ended is incomplete; None if it may not be.
+
+        Args:
+            ends_with_connection: Whether the stream has no other end than that
+                of its connection.
+        """
+        if self._splitter.incomplete_event:
+            return _make_failure("the stream ended inside an event")
+        if self._is_first_after_resumption:
+            return _make_failure("the resumed stream ended without an event")
+        if ends_with_connection and not self._splitter.event_count:
+            return _make_failure("the stream ended without an event")
+        return None
+
+    def drop_incomplete_event(self) -> None:
+        """Drops the incomplete event; another engine will send it again."""
+        self._splitter.drop_incomplete_event()
+
+    def begin_resumed_stream(self) -> None:
+        """Expects the next bytes from an engine that resumes the run.
+
+        The first event must continue after the last one that was accepted, if
+        there was one.
+        """
+        self._is_first_after_resumption = self._splitter.event_count > 0
+
+    def _find_excess(self, complete_events: bytes) -> errors.Failure | None:
+        """Returns why the bytes that arrived are no stream of events, or None.
+
+        A faulty engine may send bytes without end.
+        """
+        if len(self._splitter.incomplete_event) > _MAX_EVENT_BYTES:
+            return _make_failure("an event exceeds the size limit")
+        self._received_event_count += complete_events.count(sse.EVENT_END)
+        if self._max_output_tokens and self._received_event_count > (
+            self._max_output_tokens + _MAX_ADDITIONAL_EVENTS
+        ):
+            return _make_failure(
+                "the stream has more events than output tokens"
+            )
+        return None
+
+    def _find_wrong_order(
+        self, complete_events: bytes, previous_id: int
+    ) -> errors.Failure | None:
+        """Returns why events do not continue a resumed stream, or None.
+
+        Only the first events after a resumption are checked.
+
+        Args:
+            complete_events: Bytes of complete events; may be empty.
+            previous_id: Id of the last event that was accepted.
+        """
+        if not self._is_first_after_resumption or not complete_events:
+            return None
+        self._is_first_after_resumption = False
+        if sse.find_first_event_id(complete_events) == previous_id + 1:
+            return None
+        return errors.Failure(
+            errors.Kind.GENERATION_LOST,
+            "the resumed stream does not continue after the last"
+            " forwarded event",
+        )
+
+
+def _make_failure(reason: str) -> errors.Failure:
+    return errors.Failure(errors.Kind.ENDPOINT_FAILED, reason)
