Compare the durations of two versions route by route

Cause: the calls of all routes were compared together. Ruled out: too few calls (49 of each).

Change: durations are counted by route and each route is compared with itself; the eight most used routes are shared while a rollout runs. The factor is 1.4 in place of 1.6, which the mix of routes had needed. A test sends what a heartbeat has to another process: a trial with generated code of the interface before had heartbeats that could not be built.

--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -71,6 +71,15 @@
   3: double failures
 }
 
+// Durations of the calls of one route that ended with success: their number, the
+// sum of the natural logarithms in seconds, and the sum of the squares of these.
+struct RouteDurations {
+  1: string route
+  2: i32 timed
+  3: double log_total
+  4: double log_square_total
+}
+
 // Counts of the calls of one process to the new or the old version of a service
 // during a rollout.
 struct VersionCount {
@@ -90,6 +99,8 @@
   8: i32 timed
   9: double log_total
   10: double log_square_total
+  // The same for the most used routes, without those that are in `timed` alone.
+  11: list<RouteDurations> routes
 }
 
 // The final state of a rollout, as it is written to the store.
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -680,6 +680,110 @@
         return not (self == other)
 
 
+class RouteDurations(object):
+    """
+    Attributes:
+     - route
+     - timed
+     - log_total
+     - log_square_total
+
+    """
+
+    __slots__ = (
+        'route',
+        'timed',
+        'log_total',
+        'log_square_total',
+    )
+
+
+    def __init__(self, route=None, timed=None, log_total=None, log_square_total=None,):
+        self.route = route
+        self.timed = timed
+        self.log_total = log_total
+        self.log_square_total = log_square_total
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.timed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.log_total = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.log_square_total = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteDurations')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.timed is not None:
+            oprot.writeFieldBegin('timed', TType.I32, 2)
+            oprot.writeI32(self.timed)
+            oprot.writeFieldEnd()
+        if self.log_total is not None:
+            oprot.writeFieldBegin('log_total', TType.DOUBLE, 3)
+            oprot.writeDouble(self.log_total)
+            oprot.writeFieldEnd()
+        if self.log_square_total is not None:
+            oprot.writeFieldBegin('log_square_total', TType.DOUBLE, 4)
+            oprot.writeDouble(self.log_square_total)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class VersionCount(object):
     """
     Attributes:
@@ -693,6 +797,7 @@
      - timed
      - log_total
      - log_square_total
+     - routes
 
     """
 
@@ -707,10 +812,11 @@
         'timed',
         'log_total',
         'log_square_total',
+        'routes',
     )
 
 
-    def __init__(self, service_name=None, order_version=None, is_new=None, sent=None, answers=None, failures=None, total_s=None, timed=None, log_total=None, log_square_total=None,):
+    def __init__(self, service_name=None, order_version=None, is_new=None, sent=None, answers=None, failures=None, total_s=None, timed=None, log_total=None, log_square_total=None, routes=None,):
         self.service_name = service_name
         self.order_version = order_version
         self.is_new = is_new
@@ -721,6 +827,7 @@
         self.timed = timed
         self.log_total = log_total
         self.log_square_total = log_square_total
+        self.routes = routes
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -781,6 +888,17 @@
                     self.log_square_total = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.routes = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = RouteDurations()
+                        _elem12.read(iprot)
+                        self.routes.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -831,6 +949,13 @@
             oprot.writeFieldBegin('log_square_total', TType.DOUBLE, 10)
             oprot.writeDouble(self.log_square_total)
             oprot.writeFieldEnd()
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.routes))
+            for iter13 in self.routes:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1096,53 +1221,53 @@
             elif fid == 12:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = EndpointLoad()
-                        _elem12.read(iprot)
-                        self.loads.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = EndpointLoad()
+                        _elem19.read(iprot)
+                        self.loads.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 13:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = CrashMark()
-                        _elem24.read(iprot)
-                        self.crashes.append(_elem24)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = CrashMark()
+                        _elem31.read(iprot)
+                        self.crashes.append(_elem31)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
                 if ftype == TType.LIST:
                     self.versions = []
-                    (_etype28, _size25) = iprot.readListBegin()
-                    for _i29 in range(_size25):
-                        _elem30 = VersionCount()
-                        _elem30.read(iprot)
-                        self.versions.append(_elem30)
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = VersionCount()
+                        _elem37.read(iprot)
+                        self.versions.append(_elem37)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.known_hosts = []
-                    (_etype34, _size31) = iprot.readListBegin()
-                    for _i35 in range(_size31):
-                        _elem36 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known_hosts.append(_elem36)
+                    (_etype41, _size38) = iprot.readListBegin()
+                    for _i42 in range(_size38):
+                        _elem43 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known_hosts.append(_elem43)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1154,66 +1279,66 @@
             elif fid == 18:
                 if ftype == TType.LIST:
                     self.verdicts = []
-                    (_etype40, _size37) = iprot.readListBegin()
-                    for _i41 in range(_size37):
-                        _elem42 = Verdict()
-                        _elem42.read(iprot)
-                        self.verdicts.append(_elem42)
+                    (_etype47, _size44) = iprot.readListBegin()
+                    for _i48 in range(_size44):
+                        _elem49 = Verdict()
+                        _elem49.read(iprot)
+                        self.verdicts.append(_elem49)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 19:
                 if ftype == TType.LIST:
                     self.doubtful = []
-                    (_etype46, _size43) = iprot.readListBegin()
-                    for _i47 in range(_size43):
-                        _elem48 = EndpointHealth()
-                        _elem48.read(iprot)
-                        self.doubtful.append(_elem48)
+                    (_etype53, _size50) = iprot.readListBegin()
+                    for _i54 in range(_size50):
+                        _elem55 = EndpointHealth()
+                        _elem55.read(iprot)
+                        self.doubtful.append(_elem55)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 20:
                 if ftype == TType.LIST:
                     self.prompt_crashes = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = PromptCrash()
-                        _elem54.read(iprot)
-                        self.prompt_crashes.append(_elem54)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = PromptCrash()
+                        _elem61.read(iprot)
+                        self.prompt_crashes.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 21:
                 if ftype == TType.LIST:
                     self.sound_parts = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = SoundPart()
-                        _elem60.read(iprot)
-                        self.sound_parts.append(_elem60)
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = SoundPart()
+                        _elem67.read(iprot)
+                        self.sound_parts.append(_elem67)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 22:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype64, _size61) = iprot.readListBegin()
-                    for _i65 in range(_size61):
-                        _elem66 = EndpointLimit()
-                        _elem66.read(iprot)
-                        self.limits.append(_elem66)
+                    (_etype71, _size68) = iprot.readListBegin()
+                    for _i72 in range(_size68):
+                        _elem73 = EndpointLimit()
+                        _elem73.read(iprot)
+                        self.limits.append(_elem73)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 23:
                 if ftype == TType.LIST:
                     self.leaving_endpoints = []
-                    (_etype70, _size67) = iprot.readListBegin()
-                    for _i71 in range(_size67):
-                        _elem72 = LeavingEndpoint()
-                        _elem72.read(iprot)
-                        self.leaving_endpoints.append(_elem72)
+                    (_etype77, _size74) = iprot.readListBegin()
+                    for _i78 in range(_size74):
+                        _elem79 = LeavingEndpoint()
+                        _elem79.read(iprot)
+                        self.leaving_endpoints.append(_elem79)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1274,36 +1399,36 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 12)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter73 in self.loads:
-                iter73.write(oprot)
+            for iter80 in self.loads:
+                iter80.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving is not None:
             oprot.writeFieldBegin('leaving', TType.LIST, 13)
             oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter74 in self.leaving:
-                oprot.writeString(iter74.encode('utf-8') if sys.version_info[0] == 2 else iter74)
+            for iter81 in self.leaving:
+                oprot.writeString(iter81.encode('utf-8') if sys.version_info[0] == 2 else iter81)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
             oprot.writeFieldBegin('crashes', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter75 in self.crashes:
-                iter75.write(oprot)
+            for iter82 in self.crashes:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.versions is not None:
             oprot.writeFieldBegin('versions', TType.LIST, 15)
             oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter76 in self.versions:
-                iter76.write(oprot)
+            for iter83 in self.versions:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.known_hosts is not None:
             oprot.writeFieldBegin('known_hosts', TType.LIST, 16)
             oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter77 in self.known_hosts:
-                oprot.writeString(iter77.encode('utf-8') if sys.version_info[0] == 2 else iter77)
+            for iter84 in self.known_hosts:
+                oprot.writeString(iter84.encode('utf-8') if sys.version_info[0] == 2 else iter84)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.endpoints_read_ms_ago is not None:
@@ -1313,43 +1438,43 @@
         if self.verdicts is not None:
             oprot.writeFieldBegin('verdicts', TType.LIST, 18)
             oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter78 in self.verdicts:
-                iter78.write(oprot)
+            for iter85 in self.verdicts:
+                iter85.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.doubtful is not None:
             oprot.writeFieldBegin('doubtful', TType.LIST, 19)
             oprot.writeListBegin(TType.STRUCT, len(self.doubtful))
-            for iter79 in self.doubtful:
-                iter79.write(oprot)
+            for iter86 in self.doubtful:
+                iter86.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompt_crashes is not None:
             oprot.writeFieldBegin('prompt_crashes', TType.LIST, 20)
             oprot.writeListBegin(TType.STRUCT, len(self.prompt_crashes))
-            for iter80 in self.prompt_crashes:
-                iter80.write(oprot)
+            for iter87 in self.prompt_crashes:
+                iter87.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound_parts is not None:
             oprot.writeFieldBegin('sound_parts', TType.LIST, 21)
             oprot.writeListBegin(TType.STRUCT, len(self.sound_parts))
-            for iter81 in self.sound_parts:
-                iter81.write(oprot)
+            for iter88 in self.sound_parts:
+                iter88.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 22)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter82 in self.limits:
-                iter82.write(oprot)
+            for iter89 in self.limits:
+                iter89.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.leaving_endpoints is not None:
             oprot.writeFieldBegin('leaving_endpoints', TType.LIST, 23)
             oprot.writeListBegin(TType.STRUCT, len(self.leaving_endpoints))
-            for iter83 in self.leaving_endpoints:
-                iter83.write(oprot)
+            for iter90 in self.leaving_endpoints:
+                iter90.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1431,22 +1556,22 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype87, _size84) = iprot.readListBegin()
-                    for _i88 in range(_size84):
-                        _elem89 = EndpointLoad()
-                        _elem89.read(iprot)
-                        self.loads.append(_elem89)
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = EndpointLoad()
+                        _elem96.read(iprot)
+                        self.loads.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype93, _size90) = iprot.readListBegin()
-                    for _i94 in range(_size90):
-                        _elem95 = EndpointLimit()
-                        _elem95.read(iprot)
-                        self.limits.append(_elem95)
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = EndpointLimit()
+                        _elem102.read(iprot)
+                        self.limits.append(_elem102)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1475,15 +1600,15 @@
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter96 in self.loads:
-                iter96.write(oprot)
+            for iter103 in self.loads:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.limits is not None:
             oprot.writeFieldBegin('limits', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter97 in self.limits:
-                iter97.write(oprot)
+            for iter104 in self.limits:
+                iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1664,11 +1789,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype101, _size98) = iprot.readListBegin()
-                    for _i102 in range(_size98):
-                        _elem103 = Row()
-                        _elem103.read(iprot)
-                        self.rows.append(_elem103)
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = Row()
+                        _elem110.read(iprot)
+                        self.rows.append(_elem110)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1703,8 +1828,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter104 in self.rows:
-                iter104.write(oprot)
+            for iter111 in self.rows:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1770,11 +1895,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.known_versions = {}
-                    (_ktype106, _vtype107, _size105) = iprot.readMapBegin()
-                    for _i109 in range(_size105):
-                        _key110 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val111 = iprot.readI64()
-                        self.known_versions[_key110] = _val111
+                    (_ktype113, _vtype114, _size112) = iprot.readMapBegin()
+                    for _i116 in range(_size112):
+                        _key117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val118 = iprot.readI64()
+                        self.known_versions[_key117] = _val118
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1796,9 +1921,9 @@
         if self.known_versions is not None:
             oprot.writeFieldBegin('known_versions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.known_versions))
-            for kiter112, viter113 in self.known_versions.items():
-                oprot.writeString(kiter112.encode('utf-8') if sys.version_info[0] == 2 else kiter112)
-                oprot.writeI64(viter113)
+            for kiter119, viter120 in self.known_versions.items():
+                oprot.writeString(kiter119.encode('utf-8') if sys.version_info[0] == 2 else kiter119)
+                oprot.writeI64(viter120)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.accepts_compression is not None:
@@ -1860,11 +1985,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype117, _size114) = iprot.readListBegin()
-                    for _i118 in range(_size114):
-                        _elem119 = Table()
-                        _elem119.read(iprot)
-                        self.tables.append(_elem119)
+                    (_etype124, _size121) = iprot.readListBegin()
+                    for _i125 in range(_size121):
+                        _elem126 = Table()
+                        _elem126.read(iprot)
+                        self.tables.append(_elem126)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1886,8 +2011,8 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter120 in self.tables:
-                iter120.write(oprot)
+            for iter127 in self.tables:
+                iter127.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_busy is not None:
@@ -1967,6 +2092,14 @@
     (2, TType.DOUBLE, 'answers', None, None, ),  # 2
     (3, TType.DOUBLE, 'failures', None, None, ),  # 3
 )
+all_structs.append(RouteDurations)
+RouteDurations.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'route', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'timed', None, None, ),  # 2
+    (3, TType.DOUBLE, 'log_total', None, None, ),  # 3
+    (4, TType.DOUBLE, 'log_square_total', None, None, ),  # 4
+)
 all_structs.append(VersionCount)
 VersionCount.thrift_spec = (
     None,  # 0
@@ -1980,6 +2113,7 @@
     (8, TType.I32, 'timed', None, None, ),  # 8
     (9, TType.DOUBLE, 'log_total', None, None, ),  # 9
     (10, TType.DOUBLE, 'log_square_total', None, None, ),  # 10
+    (11, TType.LIST, 'routes', (TType.STRUCT, [RouteDurations, None], False), None, ),  # 11
 )
 all_structs.append(Verdict)
 Verdict.thrift_spec = (
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -325,7 +325,9 @@
             failure.run_state is not errors.RunState.NOT_RUN
         )
         took_s = now_s - run.sent_s
-        deps.scheduler.record_outcome(endpoint, took_s, failed=True)
+        deps.scheduler.record_outcome(
+            endpoint, self._admitted.route.name, took_s, failed=True
+        )
         deps.log.event(
             "attempt_failed",
             req=self._call.request_id,
@@ -390,6 +392,7 @@
         )
         deps.scheduler.record_outcome(
             response.endpoint,
+            self._admitted.route.name,
             first_event_delay_s,
             failed=not outcome.is_complete,
         )
@@ -438,7 +441,9 @@
         )
         self._crashes.record_completed()
         took_s = now_s - run.sent_s
-        deps.scheduler.record_outcome(run.endpoint, took_s, failed=is_failed)
+        deps.scheduler.record_outcome(
+            run.endpoint, admitted.route.name, took_s, failed=is_failed
+        )
         if is_failed and self._should_retry_error_response(now_s):
             self._held_response = (head, body)
             self._failure = errors.Failure(
--- a/libs/gateway/src/dandelionlead/gateway/heartbeats.py
+++ b/libs/gateway/src/dandelionlead/gateway/heartbeats.py
@@ -306,9 +306,8 @@
                 count.ended_count,
                 count.failure_count,
                 count.total_s,
-                count.durations.count,
-                count.durations.total,
-                count.durations.square_total,
+                *_sum_durations(count),
+                routes=_encode_durations(rollout, count),
             )
             for rollout in self._process_state.view.rollouts.list_all()
             for is_new, count in rollout.own_counts.items()
@@ -436,11 +435,50 @@
     ]
 
 
-def _decode_durations(item: ttypes.VersionCount) -> rollouts.LogDurations:
-    """Converts a peer's durations; a peer of an older build sends none."""
-    return rollouts.LogDurations(
-        item.timed or 0, item.log_total or 0.0, item.log_square_total or 0.0
-    )
+def _sum_durations(count: rollouts.CallCounts) -> tuple[int, float, float]:
+    """Returns the sums over all routes, for peers of an older build."""
+    total = rollouts.LogDurations()
+    for durations in count.durations.values():
+        total.add(durations)
+    return total.count, total.total, total.square_total
+
+
+def _encode_durations(
+    rollout: rollouts.Rollout, count: rollouts.CallCounts
+) -> list[ttypes.RouteDurations]:
+    """Converts the durations by route; none are needed after the verdict."""
+    if rollout.state is not rollouts.RolloutState.RUNNING:
+        return []
+    return [
+        ttypes.RouteDurations(
+            route, durations.count, durations.total, durations.square_total
+        )
+        for route, durations in count.list_shared_durations().items()
+    ]
+
+
+def _decode_durations(
+    item: ttypes.VersionCount,
+) -> dict[str, rollouts.LogDurations]:
+    """Converts a peer's durations by route.
+
+    A peer of an older build sends those of all routes together, or none.
+    """
+    if item.routes is not None:
+        return {
+            entry.route: rollouts.LogDurations(
+                entry.timed, entry.log_total, entry.log_square_total
+            )
+            for entry in item.routes
+            if entry.timed
+        }
+    if not item.timed:
+        return {}
+    return {
+        "": rollouts.LogDurations(
+            item.timed, item.log_total or 0.0, item.log_square_total or 0.0
+        )
+    }
 
 
 def _ms_since(instant_s: float, now_s: float) -> int:
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -380,6 +380,69 @@
     return calls.AdmittedCall(call, route, None, service, 1)
 
 
+def _make_heartbeat_handler(
+    name: str,
+    view: routing_view.RoutingView,
+    scheduler: scheduling.Scheduler,
+) -> heartbeats.HeartbeatHandler:
+    identity = heartbeats.ProcessIdentity(
+        name, "10.0.0.1", "a", ("10.0.0.1", 80)
+    )
+    state = heartbeats.ProcessState(
+        view,
+        scheduler,
+        serving.ServingState(),
+        roster.Roster(name, "10.0.0.1"),
+        mirror.Table(),
+        mirror.Table(),
+    )
+    return heartbeats.HeartbeatHandler(identity, state, lambda _: None)
+
+
+class SharedStateTest(unittest.TestCase):
+    """Guards against a heartbeat that cannot be built, sent or applied.
+
+    A process whose heartbeats fail is taken for dead by its peers.
+    """
+
+    def test_peer_gets_counts_limits_and_notices(self) -> None:
+        order = model.RolloutOrder("s", "v2", 10.0)
+        handlers, views, schedulers = [], [], []
+        for name in ("a", "b"):
+            view = routing_view.RoutingView()
+            scheduler = _make_scheduler(view)
+            view.rollouts.start(order, 7, 0.0)
+            for number, version in enumerate(("v1", "v2")):
+                view.set_endpoint(
+                    model.Endpoint(
+                        f"e{number}", "s", "127.0.0.1", 1, "a", version=version
+                    )
+                )
+            views.append(view)
+            schedulers.append(scheduler)
+            handlers.append(_make_heartbeat_handler(name, view, scheduler))
+        now_s = clock.boottime()
+        schedulers[0].endpoint_limits.record_named("e0", 0.25, now_s)
+        for number, endpoint in enumerate(views[0].endpoints.values()):
+            for _ in range(3):
+                schedulers[0].count_sent(endpoint, now_s)
+                schedulers[0].record_outcome(
+                    endpoint, f"r{number}", 0.5, failed=False
+                )
+        views[0].mark_leaving("e1")
+        data = peer_transport.encode(handlers[0].build_heartbeat())
+        heartbeat = peer_transport.decode(ttypes.Heartbeat(), data)
+        handlers[1].handle_heartbeat(heartbeat)
+        rollout = views[1].rollouts.get("s")
+        for is_new, route in ((False, "r0"), (True, "r1")):
+            counts = rollout.sum_counts(new=is_new)
+            self.assertEqual(counts.sent_count, 3)
+            self.assertEqual(counts.durations[route].count, 3)
+        self.assertTrue(views[1].is_leaving("e1"))
+        limits = schedulers[1].endpoint_limits
+        self.assertGreater(limits.compute_wait_s("e0", now_s + 0.1, 2), 0.0)
+
+
 class LargePromptCrashTest(unittest.TestCase):
     """Guards against heartbeats that are too large to be received.
 
@@ -404,18 +467,7 @@
             )
             request_crashes.record_broken_connection(endpoint)
             scheduler.record_unreachable(endpoint, clock.boottime())
-        identity = heartbeats.ProcessIdentity(
-            "n", "10.0.0.1", "a", ("10.0.0.1", 80)
-        )
-        state = heartbeats.ProcessState(
-            view,
-            scheduler,
-            serving.ServingState(),
-            roster.Roster("n", "10.0.0.1"),
-            mirror.Table(),
-            mirror.Table(),
-        )
-        handler = heartbeats.HeartbeatHandler(identity, state, lambda _: None)
+        handler = _make_heartbeat_handler("n", view, scheduler)
         heartbeat = handler.build_heartbeat()
         self.assertTrue(heartbeat.prompt_crashes)
         self.assertLess(
--- a/libs/routing/src/dandelionlead/routing/rollouts.py
+++ b/libs/routing/src/dandelionlead/routing/rollouts.py
@@ -55,11 +55,15 @@
 _SLOW_MARGIN_S = 0.05
 # A version is also slow if the geometric mean duration of its successful calls
 # exceeds that of the old version by this factor, and if the difference of the
-# mean logarithms exceeds its standard error by a second factor. The second one
-# is lower when the verdict is due, since the counts are compared once then.
-_SLOW_GEOMETRIC_FACTOR = 1.6
+# mean logarithms exceeds its standard error by a second factor. Calls are
+# compared with those of the same route. The second factor is lower when the
+# verdict is due, since the counts are compared once then.
+_SLOW_GEOMETRIC_FACTOR = 1.4
 _MIN_STANDARD_ERRORS = 3.0
 _MIN_STANDARD_ERRORS_WHEN_DUE = 2.0
+# Number of routes whose durations a process sends to its peers. It bounds the
+# size of a heartbeat.
+_MAX_SHARED_ROUTES = 8
 # Shortest duration that is told apart from shorter ones.
 _MIN_DURATION_S = 0.001
 
@@ -108,11 +112,63 @@
         """Returns the mean logarithm; `count` must not be 0."""
         return self.total / self.count
 
-    def compute_squared_error(self) -> float:
-        """Returns the squared standard error of the mean logarithm."""
-        mean = self.compute_mean()
-        variance = max(0.0, self.square_total / self.count - mean**2)
-        return variance / max(1, self.count - 1)
+    def compute_square_deviation(self) -> float:
+        """Returns the sum of the squared deviations from the mean."""
+        return max(0.0, self.square_total - self.total * self.compute_mean())
+
+
+class _RouteComparison:
+    """Compares the durations of two versions, each route with itself.
+
+    The routes of a service differ far more in duration than two versions do, so
+    that a comparison of all calls would hide a slow version.
+
+    Attributes:
+        new_count: Number of calls of the new version that are compared.
+        old_count: The same for the old version.
+    """
+
+    __slots__ = (
+        "new_count",
+        "old_count",
+        "_weight",
+        "_difference_total",
+        "_square_deviation",
+        "_mean_count",
+    )
+
+    def __init__(
+        self, new: dict[str, LogDurations], old: dict[str, LogDurations]
+    ) -> None:
+        self.new_count = self.old_count = 0
+        self._weight = self._difference_total = self._square_deviation = 0.0
+        # Number of means that are estimated, two for each route.
+        self._mean_count = 0
+        for route in new.keys() & old.keys():
+            self._add_route(new[route], old[route])
+
+    def _add_route(self, new: LogDurations, old: LogDurations) -> None:
+        weight = new.count * old.count / (new.count + old.count)
+        self.new_count += new.count
+        self.old_count += old.count
+        self._weight += weight
+        self._difference_total += weight * (
+            new.compute_mean() - old.compute_mean()
+        )
+        self._square_deviation += (
+            new.compute_square_deviation() + old.compute_square_deviation()
+        )
+        self._mean_count += 2
+
+    def compute_difference(self) -> float:
+        """Returns the mean difference of the logarithms of the durations."""
+        return self._difference_total / self._weight
+
+    def compute_standard_error(self) -> float:
+        """Returns the standard error of the mean difference."""
+        call_count = self.new_count + self.old_count
+        degrees = max(1, call_count - self._mean_count)
+        return math.sqrt(self._square_deviation / degrees / self._weight)
 
 
 class CallCounts:
@@ -125,7 +181,8 @@
         ended_count: Number of calls that ended, with success or failure.
         failure_count: Number of ended calls that failed.
         total_s: Sum of the durations of the ended calls in seconds.
-        durations: Durations of the calls that ended with success.
+        durations: Durations of the calls that ended with success, by name of
+            the route; empty names stand for all routes that are not named.
     """
 
     __slots__ = (
@@ -142,13 +199,13 @@
         ended_count: int = 0,
         failure_count: int = 0,
         total_s: float = 0.0,
-        durations: LogDurations | None = None,
+        durations: dict[str, LogDurations] | None = None,
     ) -> None:
         self.sent_count = sent_count
         self.ended_count = ended_count
         self.failure_count = failure_count
         self.total_s = total_s
-        self.durations = durations or LogDurations()
+        self.durations = durations or {}
 
     def add(self, other: CallCounts) -> None:
         """Adds other counts to these."""
@@ -156,7 +213,18 @@
         self.ended_count += other.ended_count
         self.failure_count += other.failure_count
         self.total_s += other.total_s
-        self.durations.add(other.durations)
+        for route, durations in other.durations.items():
+            self.durations.setdefault(route, LogDurations()).add(durations)
+
+    def list_shared_durations(self) -> dict[str, LogDurations]:
+        """Returns the durations of the most used routes, for peers."""
+        most_used = sorted(
+            self.durations, key=lambda route: -self.durations[route].count
+        )
+        return {
+            route: self.durations[route]
+            for route in most_used[:_MAX_SHARED_ROUTES]
+        }
 
     def subtract(self, earlier: CallCounts) -> CallCounts:
         """Returns the difference from earlier values of the same counts.
@@ -353,12 +421,18 @@
             counts.sent_count += 1
 
     def record_outcome(
-        self, endpoint: model.Endpoint, duration_s: float, *, failed: bool
+        self,
+        endpoint: model.Endpoint,
+        route: str,
+        duration_s: float,
+        *,
+        failed: bool,
     ) -> None:
         """Counts the outcome of a call if the service has a rollout.
 
         Args:
             endpoint: Endpoint that the call was sent to.
+            route: Name of the route of the call.
             duration_s: Duration of the call in seconds; for a stream, the time
                 to its first event.
             failed: Whether the call failed.
@@ -369,7 +443,8 @@
             counts.failure_count += failed
             counts.total_s += duration_s
             if not failed:
-                counts.durations.record(duration_s)
+                durations = counts.durations.setdefault(route, LogDurations())
+                durations.record(duration_s)
 
     def store_verdict(
         self, service: str, order_version: int, state: RolloutState
@@ -468,17 +543,13 @@
         limit_s = _SLOW_FACTOR * old.compute_mean_s() + _SLOW_MARGIN_S
         if new.compute_mean_s() > limit_s:
             return True
-    counts = (new.durations.count, old.durations.count)
-    if min(counts) < _MIN_TIMED_CALLS:
+    comparison = _RouteComparison(new.durations, old.durations)
+    if min(comparison.new_count, comparison.old_count) < _MIN_TIMED_CALLS:
         return False
-    difference = new.durations.compute_mean() - old.durations.compute_mean()
-    standard_error = math.sqrt(
-        new.durations.compute_squared_error()
-        + old.durations.compute_squared_error()
-    )
     min_errors = (
         _MIN_STANDARD_ERRORS_WHEN_DUE if is_due else _MIN_STANDARD_ERRORS
     )
-    return difference > max(
-        math.log(_SLOW_GEOMETRIC_FACTOR), min_errors * standard_error
+    return comparison.compute_difference() > max(
+        math.log(_SLOW_GEOMETRIC_FACTOR),
+        min_errors * comparison.compute_standard_error(),
     )
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -263,17 +263,25 @@
         return f"{load.runs}/{load.memory_tokens}/{load.unread_prompt_tokens}"
 
     def record_outcome(
-        self, endpoint: model.Endpoint, duration_s: float, *, failed: bool
+        self,
+        endpoint: model.Endpoint,
+        route: str,
+        duration_s: float,
+        *,
+        failed: bool,
     ) -> None:
         """Records the outcome of a call for the verdict on a rollout.
 
         Args:
             endpoint: Endpoint that the call was sent to.
+            route: Name of the route of the call.
             duration_s: Duration of the call in seconds; for a stream, the time
                 to its first event.
             failed: Whether the call failed.
         """
-        self._view.rollouts.record_outcome(endpoint, duration_s, failed=failed)
+        self._view.rollouts.record_outcome(
+            endpoint, route, duration_s, failed=failed
+        )
 
     def record_unreachable(
         self, endpoint: model.Endpoint, now_s: float
--- a/libs/routing/tests/test_rollouts.py
+++ b/libs/routing/tests/test_rollouts.py
@@ -49,6 +49,7 @@
         slowdown: float = 1.0,
         slow_share: float = 1.0,
         log_spread: float = 0.0,
+        route_factors: tuple[float, ...] = (1.0,),
     ) -> rollouts.RolloutState:
         """Simulates calls until the verdict or the end of the rollout.
 
@@ -59,7 +60,9 @@
                 of that of the old version.
             slow_share: Share of the new version's calls that are slow.
             log_spread: Standard deviation of the natural logarithms of the
-                durations of one version.
+                durations of one route and version.
+            route_factors: Duration of the calls of each route, as a multiple of
+                that of the first; calls are spread evenly over the routes.
 
         Returns:
             The verdict, or RUNNING if there is none.
@@ -77,9 +80,14 @@
             is_slow = is_new and self.duration_rng.random() < slow_share
             duration_s = 0.02 * (slowdown if is_slow else 1.0)
             duration_s *= self.duration_rng.lognormvariate(0.0, log_spread)
+            route = self.duration_rng.randrange(len(route_factors))
+            duration_s *= route_factors[route]
             registry.count_sent(target)
             registry.record_outcome(
-                target, duration_s, failed=self.rng.random() < share
+                target,
+                f"r{route}",
+                duration_s,
+                failed=self.rng.random() < share,
             )
             if step % 10 == 0:
                 self._exchange_counts()
@@ -161,6 +169,31 @@
             with self.subTest(slowdown=slowdown, slow_share=slow_share):
                 self.assertGreaterEqual(correct, least_correct)
 
+    # Guards against a slow version that was completed because the routes of the
+    # service differ more in duration than the two versions.
+    def test_verdict_for_slow_versions_where_routes_differ(self) -> None:
+        route_factors = (5.0, 5.0, 5.0, 0.25, 5.5)
+        # Slowdown, share of slow calls, verdict, least number of correct
+        # verdicts of 40.
+        cases = (
+            (1.0, 1.0, rollouts.RolloutState.COMPLETED, 38),
+            (5.0, 0.4, rollouts.RolloutState.ROLLED_BACK, 38),
+            (2.5, 0.9, rollouts.RolloutState.ROLLED_BACK, 38),
+        )
+        for slowdown, slow_share, expected, least_correct in cases:
+            correct = 0
+            for seed in range(40):
+                state = _Processes(seed).simulate(
+                    lambda _: 0.0,
+                    slowdown,
+                    slow_share,
+                    log_spread=0.45,
+                    route_factors=route_factors,
+                )
+                correct += state is expected
+            with self.subTest(slowdown=slowdown, slow_share=slow_share):
+                self.assertGreaterEqual(correct, least_correct)
+
     def test_version_without_ended_calls_is_rolled_back(self) -> None:
         rollout = rollouts.Rollout(
             model.RolloutOrder("s", "v2", 10.0), 1, 100.0
