--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -99,7 +99,7 @@
   8: i32 timed
   9: double log_total
   10: double log_square_total
-  // The same for the most used routes, without those that are in `timed` alone.
+  // The same for each of the most used routes; empty once the rollout has ended.
   11: list<RouteDurations> routes
 }
 
--- a/libs/routing/src/dandelionlead/routing/endpoint_limits.py
+++ b/libs/routing/src/dandelionlead/routing/endpoint_limits.py
@@ -160,6 +160,10 @@
         self._limits: dict[str, _Limit] = {}
         self._pauses: dict[str, _Pause] = {}
 
+    def has_statement(self, endpoint_id: str) -> bool:
+        """Whether a limit or pause of an endpoint is stored."""
+        return endpoint_id in self._limits or endpoint_id in self._pauses
+
     def record_named(
         self, endpoint_id: str, requests_per_s: float | None, now_s: float
     ) -> bool:
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -352,6 +352,8 @@
         self, endpoint: model.Endpoint, now_s: float
     ) -> float:
         """Returns the seconds until an endpoint takes another request."""
+        if not self.endpoint_limits.has_statement(endpoint.endpoint_id):
+            return 0.0
         return self.endpoint_limits.compute_wait_s(
             endpoint.endpoint_id, now_s, len(self._membership.list_members())
         )
