--- a/libs/routing/src/dandelionlead/routing/rollouts.py
+++ b/libs/routing/src/dandelionlead/routing/rollouts.py
@@ -314,7 +314,8 @@
 
     def may_send_to_new(self, now_s: float) -> bool:
         """Whether the limit allows one more call to the new version."""
-        new, old = self.sum_counts(new=True), self.sum_counts(new=False)
+        new_sent_count = self._sum_sent_count(new=True)
+        sent_count = new_sent_count + self._sum_sent_count(new=False)
         extra_fraction = min(
             1.0,
             _INITIAL_EXTRA_FRACTION
@@ -322,10 +323,20 @@
             * self._compute_elapsed_fraction(now_s),
         )
         allowed = (
-            EXPOSURE_SHARE * (new.sent_count + old.sent_count)
-            + EXPOSURE_EXTRA_CALLS * extra_fraction
+            EXPOSURE_SHARE * sent_count + EXPOSURE_EXTRA_CALLS * extra_fraction
+        )
+        return new_sent_count < allowed
+
+    def _sum_sent_count(self, *, new: bool) -> int:
+        """Returns the calls that all processes sent to a version.
+
+        Each choice of an endpoint needs this number alone.
+        """
+        return sum(
+            counts[new].sent_count
+            for counts in (self.own_counts, *self._peer_counts.values())
+            if new in counts
         )
-        return new.sent_count < allowed
 
     def _compute_elapsed_fraction(self, now_s: float) -> float:
         """Returns the elapsed fraction of the time until a verdict is due.
