Refuse each odd entry or message by itself

Cause: the decoders of rows let RecursionError, OverflowError and ValueError pass (deep nesting, numbers beyond a float, NaN, a port like a superscript digit), and accepted ports 0 and 99999 and a NUL in a host. The exception ended the read at that row; each version of an odd entry cost one read and a back-off. The loop that receives datagrams ended for good after a message that lacked a value. Ruled out: crash of the thrift decoder by nesting (it has a limit of its own).

A row, a datagram and a turn of an endless loop are guarded by core.guards, which logs a kind once a second and counts loop_errors_total.

--- a/libs/cluster/src/dandelionlead/cluster/overlapping_reads.py
+++ b/libs/cluster/src/dandelionlead/cluster/overlapping_reads.py
@@ -109,11 +109,11 @@
     def _run(
         self, number: int, read_once: Callable[[], errors.Failure | None]
     ) -> None:
-        failure: errors.Failure | None = errors.Failure(
-            errors.Kind.INTERNAL, "the read ended with an exception"
-        )
         try:
             failure = read_once()
-        finally:
-            self._open_count -= 1
-            self._results.put(_ReadResult(number, failure))
+        except Exception as exc:  # noqa: BLE001
+            failure = errors.Failure(
+                errors.Kind.INTERNAL, f"the read ended with {exc!r}"
+            )
+        self._open_count -= 1
+        self._results.put(_ReadResult(number, failure))
--- a/libs/cluster/src/dandelionlead/cluster/peer_transport.py
+++ b/libs/cluster/src/dandelionlead/cluster/peer_transport.py
@@ -19,10 +19,10 @@
 
 import eventlet
 import eventlet.green.socket as green_socket
-from thrift import Thrift
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
+from dandelionlead.cluster import message_checks
 from dandelionlead.cluster import mirror
 from dandelionlead.cluster import roster
 from dandelionlead.cluster import table_sending
@@ -30,6 +30,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
+from dandelionlead.core import guards
 from dandelionlead.http import listener
 
 # Shortest time between two sends to all peers if a change causes the second
@@ -50,12 +51,6 @@
 _LOAD_CHANGE_TYPE = b"L"
 # Prefix of each message on TCP: the length of the message in bytes.
 _LENGTH_PREFIX = struct.Struct("!I")
-_DECODE_ERRORS = (
-    Thrift.TException,
-    OverflowError,
-    EOFError,
-    UnicodeDecodeError,
-)
 
 
 class CopyLimits:
@@ -105,6 +100,7 @@
         table_mirror: mirror.Mirror,
         handler: PeerMessageHandler,
         log: events.Log,
+        guard: guards.LoopGuard,
     ) -> None:
         """Binds the UDP socket and the listening TCP socket.
 
@@ -117,6 +113,8 @@
                 messages that are received.
             log: Receives an event for each datagram that cannot be decoded
                 and for each copy request that cannot be served.
+            guard: Keeps a message that fails in an unexpected way from ending
+                the exchange with other peers.
 
         Raises:
             OSError: If a socket cannot be bound.
@@ -126,6 +124,7 @@
         self._table_sender = table_sending.TableSender(table_mirror)
         self._handler = handler
         self._log = log
+        self._guard = guard
         self._udp_socket = green_socket.socket(
             socket.AF_INET, socket.SOCK_DGRAM
         )
@@ -241,7 +240,12 @@
                 sock.connect((host, self._address[1]))
                 _send_frame(sock, encode(req))
                 return decode(ttypes.CopyResponse(), _read_frame(sock))
-        except (OSError, eventlet.Timeout, *_DECODE_ERRORS) as exc:
+        except (
+            OSError,
+            EOFError,
+            eventlet.Timeout,
+            message_checks.PeerMessageError,
+        ) as exc:
             return errors.Failure(
                 errors.Kind.PEER_UNREACHABLE,
                 f"copying tables from peer {host} failed: {exc!r}",
@@ -263,15 +267,21 @@
 
     def _receive_datagrams(self) -> None:
         """Receives and processes datagrams without end."""
-        while True:
+        while not self._is_closed:
             try:
                 datagram, _ = self._udp_socket.recvfrom(_MAX_DATAGRAM_BYTES)
-                self._process_datagram(datagram)
-            except OSError:
+            except (OSError, EOFError):
                 eventlet.sleep(MIN_SEND_PAUSE_S)
                 continue
-            except _DECODE_ERRORS as exc:
-                self._log.event("heartbeat_unreadable", reason=repr(exc))
+            with self._guard.turn("datagram"):
+                self._receive_datagram(datagram)
+
+    def _receive_datagram(self, datagram: bytes) -> None:
+        """Processes a datagram; logs one that cannot be decoded."""
+        try:
+            self._process_datagram(datagram)
+        except message_checks.PeerMessageError as exc:
+            self._log.event("heartbeat_unreadable", reason=repr(exc))
 
     def _process_datagram(self, datagram: bytes) -> None:
         """Decodes a datagram and passes it to the handler if it is new."""
@@ -303,7 +313,12 @@
                 req = decode(ttypes.CopyRequest(), _read_frame(sock))
                 with self._table_sender.open_response(req) as resp:
                     _send_frame(sock, encode(resp))
-        except (OSError, eventlet.Timeout, *_DECODE_ERRORS) as exc:
+        except (
+            OSError,
+            EOFError,
+            eventlet.Timeout,
+            message_checks.PeerMessageError,
+        ) as exc:
             self._log.event("copy_not_answered", reason=repr(exc))
         finally:
             sock.close()
@@ -334,12 +349,15 @@
         The message that was passed in.
 
     Raises:
-        Thrift.TException: If the data is not a valid message. A truncated or
-            corrupt message may also raise OverflowError, EOFError or
-            UnicodeDecodeError.
+        message_checks.PeerMessageError: If the data is not a valid message, or
+            if the message lacks a value.
     """
     buffer = TTransport.TMemoryBuffer(data)
-    message.read(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    try:
+        message.read(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    except Exception as exc:  # The generated code documents no exceptions.
+        raise message_checks.PeerMessageError(repr(exc)) from exc
+    message_checks.check(message)
     return message
 
 
@@ -352,12 +370,12 @@
     """Receives data that was sent with its length as prefix.
 
     Raises:
-        OverflowError: If the length exceeds the limit.
+        message_checks.PeerMessageError: If the length exceeds the limit.
         EOFError: If the peer closed the connection too early.
     """
     size = _LENGTH_PREFIX.unpack(_read_exactly(sock, _LENGTH_PREFIX.size))[0]
     if size > _MAX_FRAME_BYTES:
-        raise OverflowError(
+        raise message_checks.PeerMessageError(
             f"frame of {size} bytes exceeds the limit of"
             f" {_MAX_FRAME_BYTES} bytes"
         )
--- a/libs/cluster/src/dandelionlead/cluster/table_copier.py
+++ b/libs/cluster/src/dandelionlead/cluster/table_copier.py
@@ -20,6 +20,8 @@
 # Shortest time between the starts of two copies while this process cannot read
 # the store itself.
 STORE_OUTAGE_PAUSE_S = 0.7
+# Largest value of a row, which a compressed value must not exceed.
+_MAX_VALUE_BYTES = 8_388_608
 # A second copy at the same time, from another peer, covers for a peer that has
 # become unreachable. More would compete for the link of this process.
 _MAX_CONCURRENT_COPIES = 2
@@ -153,5 +155,15 @@
 
 
 def _decode_value(row: ttypes.Row) -> bytes | None:
-    """Returns the value of a copied row; None if the row was deleted."""
-    return zlib.decompress(row.value) if row.is_compressed else row.value
+    """Returns the value of a copied row; None if the row was deleted.
+
+    Raises:
+        zlib.error: The compressed value is corrupt, or larger than a row.
+    """
+    if not row.is_compressed or row.value is None:
+        return row.value
+    decompressor = zlib.decompressobj()
+    value = decompressor.decompress(row.value, _MAX_VALUE_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("the value is truncated or too large")
+    return value
--- a/libs/cluster/tests/test_peer_transport.py
+++ b/libs/cluster/tests/test_peer_transport.py
@@ -22,6 +22,7 @@
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
 from dandelionlead.core import events
+from dandelionlead.core import guards
 from dandelionlead.core import metrics
 
 _PORT = 7200
@@ -107,12 +108,14 @@
         self.table_mirror = mirror.Mirror(
             ("t",), lambda *_: self.transport.schedule_heartbeat()
         )
+        log = events.Log(self.handler.name)
         self.transport = peer_transport.PeerTransport(
             (self.host, _PORT),
             self.peer_roster,
             self.table_mirror,
             self.handler,
-            events.Log(self.handler.name),
+            log,
+            guards.LoopGuard(log, metrics.Registry({})),
         )
         for loop in self.transport.loops():
             eventlet.spawn_n(loop)
--- a/libs/config/src/dandelionlead/config/jsonc.py
+++ b/libs/config/src/dandelionlead/config/jsonc.py
@@ -139,7 +139,8 @@
     except UnicodeDecodeError as exc:
         line = raw.count(b"\n", 0, exc.start) + 1
         return Fault(path, line, "the file is not UTF-8; save it as UTF-8")
-    except rapidjson.JSONDecodeError as exc:
+    except (ValueError, RecursionError) as exc:
+        # Also integers of thousands of digits and deep nesting.
         return _build_syntax_fault(path, raw, str(exc))
     if not isinstance(decoded, _Object):
         return Fault(path, 1, "the file must contain an object { ... }")
--- a/libs/ctl/src/dandelionlead/ctl/commands.py
+++ b/libs/ctl/src/dandelionlead/ctl/commands.py
@@ -42,6 +42,7 @@
     """Shows which data each process uses, and the age of that data.
 
     The data are the configuration, the operator's orders and the endpoints.
+    The last column lists rows of the store whose present version is not valid.
 
     Args:
         processes: `control` address (IP:PORT) of each process.
@@ -63,6 +64,7 @@
                 ",".join(process_state["closed_zones"]) or "-",
                 len(process_state["endpoints"]),
                 len(process_state["peers"]),
+                ",".join(process_state.get("unreadable_rows", ())) or "-",
             )
         )
     titles = (
@@ -74,6 +76,7 @@
         "closed zones",
         "endpoints",
         "peers",
+        "unreadable rows",
     )
     if rows:
         print_lines(table.format_table(titles, rows))
--- a/libs/gateway/src/dandelionlead/gateway/process_metrics.py
+++ b/libs/gateway/src/dandelionlead/gateway/process_metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dandelionlead.core import clock
+from dandelionlead.core import guards
 from dandelionlead.core import metrics
 from dandelionlead.gateway import heartbeats
 
@@ -27,6 +28,13 @@
     "configuration_version": "Version of the configuration in force.",
     "orders_age_seconds": "Time since the operator's orders were confirmed.",
     "endpoints_age_seconds": "Time since the list of endpoints was confirmed.",
+    "rows_unreadable_total": (
+        "Versions of rows that could not be decoded, by table."
+    ),
+    "unreadable_rows_count": "Rows whose present version is not valid.",
+    guards.ERRORS_METRIC: (
+        "Turns of endless loops that failed unexpectedly, by loop."
+    ),
     "log_lines_dropped_count": "Log lines dropped since the start.",
 }
 # Age that is reported for a value that was never confirmed.
