Take no call during a stop that may end after the process

Cause: ServingState.can_finish estimated 0.6 s for any plain call, whatever the route's timeout, and the caller's median estimate for a generation. A call that came late in the grace period was passed on and cut off at the end.

Change: a call is taken only if its deadline is before the stop, a generation if its maximum of tokens takes no longer; all others are refused at once, not run.

The check of can_finish in test_state is replaced: its table named calls that were expected to end in time, but may end later. The new one has the latest end of each kind, and is stricter.

--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -141,12 +141,6 @@
                     errors.Kind.UNAUTHORIZED,
                     "the API key belongs to no team",
                 )
-        if not self._serving_state.can_finish(call, now_s):
-            return errors.Failure(
-                errors.Kind.NOT_READY,
-                "this process is stopping and may end before the call does",
-                retry_after_s=0.05,
-            )
         service_name = routes.choose_service(route, self._rng)
         service = configuration.services.get(service_name)
         if service is None:
@@ -154,6 +148,13 @@
                 errors.Kind.NO_ENDPOINT,
                 f"the configuration has no service named {service_name}",
             )
-        return calls.AdmittedCall(
+        admitted = calls.AdmittedCall(
             call, route, team, service, configuration.version
         )
+        if not self._serving_state.can_finish(admitted, now_s):
+            return errors.Failure(
+                errors.Kind.NOT_READY,
+                "this process is stopping and may end before the call does",
+                retry_after_s=0.05,
+            )
+        return admitted
--- a/libs/gateway/src/dandelionlead/gateway/serving.py
+++ b/libs/gateway/src/dandelionlead/gateway/serving.py
@@ -4,6 +4,7 @@
 
 from dandelionlead.core import errors
 from dandelionlead.routing import calls
+from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
 
 # A process that can reach neither the platform nor a peer keeps accepting calls
@@ -11,10 +12,11 @@
 # apply during an outage of the platform that affects all processes, since
 # heartbeats from peers still arrive.
 MAX_UNCONFIRMED_S = 10.0
-# Expected duration of a generation on an engine that runs many other
-# generations: seconds to the first event, and seconds for each output token.
-_FIRST_EVENT_S = 0.6
-_SECONDS_PER_TOKEN = 0.012
+# Upper estimates of the duration of a generation on a crowded engine: the time
+# to the first event as a multiple of the route's latency objective, and seconds
+# for each output token.
+_FIRST_EVENT_FACTOR = 1.5
+_SECONDS_PER_TOKEN = 0.02
 
 
 class ServingState:
@@ -34,16 +36,18 @@
         self.stop_deadline_s = float("inf")
         self.is_isolated = False
 
-    def can_finish(self, call: calls.Call, now_s: float) -> bool:
-        """Returns whether a call is expected to end before this process stops.
+    def can_finish(self, admitted: calls.AdmittedCall, now_s: float) -> bool:
+        """Returns whether a call ends before this process stops.
+
+        A call that is cut off at the end of the process gets no answer, and may
+        have run. Its caller can go to another process at once, so that a call
+        is accepted only if the latest end that it may have is in time.
 
         Args:
-            call: The call.
+            admitted: The call with its route.
             now_s: Present instant, in seconds.
         """
-        output_tokens = call.estimate_memory_tokens() - call.prompt_tokens
-        expected_s = _FIRST_EVENT_S + output_tokens * _SECONDS_PER_TOKEN
-        return now_s + expected_s < self.stop_deadline_s
+        return _compute_latest_end_s(admitted, now_s) < self.stop_deadline_s
 
     def check_serving(
         self, now_s: float, view: routing_view.RoutingView
@@ -81,3 +85,16 @@
         if self.is_stopping or not view.endpoints:
             return False
         return self.check_serving(now_s, view) is None
+
+
+def _compute_latest_end_s(admitted: calls.AdmittedCall, now_s: float) -> float:
+    """Returns the latest instant at which a call ends, in seconds.
+
+    That is its deadline. The deadline of a generation is far beyond what its
+    maximum number of tokens takes, which therefore counts as well.
+    """
+    if admitted.route.kind is not model.CallKind.STREAMING:
+        return admitted.deadline_s
+    longest_s = _FIRST_EVENT_FACTOR * admitted.route.latency_objective_s
+    longest_s += _SECONDS_PER_TOKEN * admitted.call.max_output_tokens
+    return min(admitted.deadline_s, now_s + longest_s)
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -228,18 +228,27 @@
         self.assertEqual(failure.kind, errors.Kind.NOT_READY)
         self.assertEqual(failure.run_state, errors.RunState.NOT_RUN)
 
-    def test_stopping_process_accepts_calls_it_can_finish(self) -> None:
+    def test_stopping_process_accepts_only_calls_that_end_in_time(
+        self,
+    ) -> None:
         serving_state = serving.ServingState()
         serving_state.stop_deadline_s = 107.0
+        plain, stream = model.CallKind.NON_IDEMPOTENT, model.CallKind.STREAMING
         cases = (
-            # Output tokens, now, whether the call is accepted.
-            (0, 106.0, True),
-            (40, 104.0, True),
-            (900, 100.0, False),
-            (300, 100.0, True),
-            (300, 104.0, False),
+            # Kind, timeout of the route, maximum of output tokens, now, whether
+            # the call is accepted.
+            (plain, 0.9, 0, 106.0, True),
+            (plain, 1.1, 0, 106.0, False),
+            (plain, 6.9, 0, 100.0, True),
+            (plain, 30.0, 0, 100.0, False),
+            (stream, 30.0, 40, 104.0, True),
+            (stream, 30.0, 40, 105.0, False),
+            (stream, 30.0, 900, 100.0, False),
+            (stream, 30.0, 200, 100.0, True),
+            (stream, 30.0, 200, 104.0, False),
+            (stream, 0.5, 900, 106.0, True),
         )
-        for tokens, now_s, is_accepted in cases:
+        for kind, timeout_s, tokens, now_s, is_accepted in cases:
             call = calls.Call(
                 "r",
                 b"POST",
@@ -247,15 +256,19 @@
                 "h",
                 "/",
                 [],
+                arrived_s=now_s,
+                caller_deadline_s=now_s + 40.0,
                 prompt_tokens=2_000,
-                max_output_tokens=1_000,
-                hinted_output_tokens=tokens,
+                max_output_tokens=tokens,
+                hinted_output_tokens=1,
+            )
+            route = model.Route("r", "h", "/", kind, (), timeout_s=timeout_s)
+            admitted = calls.AdmittedCall(
+                call, route, None, model.Service("s", 0, 0.0, None), 1
             )
-            if not tokens:
-                call.max_output_tokens = 0
-            with self.subTest(tokens=tokens, now_s=now_s):
+            with self.subTest(kind=kind, tokens=tokens, now_s=now_s):
                 self.assertEqual(
-                    serving_state.can_finish(call, now_s), is_accepted
+                    serving_state.can_finish(admitted, now_s), is_accepted
                 )
 
     def test_stopping_process_is_not_ready(self) -> None:
--- a/libs/http/src/dandelionlead/http/listener.py
+++ b/libs/http/src/dandelionlead/http/listener.py
@@ -8,6 +8,7 @@
 import eventlet
 import eventlet.green.socket as green_socket
 
+from dandelionlead.core import clock
 from dandelionlead.http import client
 from dandelionlead.http import server
 
@@ -26,6 +27,9 @@
     Attributes:
         connections: Connections that are open.
         accepted_count: Number of connections accepted so far.
+        last_request_s: Time in seconds at which the last connection was
+            accepted, or the last request that is not over was seen by
+            `count_active_connections`.
 
     Raises:
         OSError: The address cannot be bound.
@@ -38,6 +42,7 @@
         self._sock = open_listening_socket(address)
         self.connections: set[server.ServerConnection] = set()
         self.accepted_count = 0
+        self.last_request_s = float("-inf")
 
     @property
     def address(self) -> tuple[str, int]:
@@ -56,6 +61,7 @@
                 eventlet.sleep(0.05)
                 continue
             self.accepted_count += 1
+            self.last_request_s = clock.boottime()
             eventlet.spawn_n(self._serve, sock)
 
     def close_idle_connections(self) -> None:
@@ -71,7 +77,14 @@
 
     def count_active_connections(self) -> int:
         """Returns the number of connections with a request in progress."""
-        return sum(not conn.is_idle for conn in self.connections)
+        count = sum(not conn.is_idle for conn in self.connections)
+        if count:
+            self.last_request_s = clock.boottime()
+        return count
+
+    def stop_accepting(self) -> None:
+        """Closes the listening socket; open connections are still served."""
+        self._sock.close()
 
     def _serve(self, sock: green_socket.GreenSocket) -> None:
         with contextlib.suppress(OSError):
