Count whole events only as progress of a stream

A report of other operators: stalled streams that sent a byte now and then never ended. Here they ended at the deadline, but a run with a backup was not resumed: any byte started the wait for a silent engine again.

Change: the wait begins at the last complete event. Ruled out: cuts of slow sound streams; without a copy or backup the wait is the deadline of the call.

A stream with an event each 0.5 s passes before and after.

--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -31,6 +31,9 @@
 SILENCE_GAP_FACTOR = 3.0
 MIN_SILENCE_S = 0.12
 MAX_SILENCE_S = 0.8
+# Shortest wait of one read, so that what has arrived already is read even if the
+# engine counts as silent.
+_MIN_READ_S = 0.01
 # Weight of the newest gap in the moving average of gaps.
 _GAP_WEIGHT = 0.1
 # Longest wait for the response to the request for the final copy once the
@@ -124,6 +127,9 @@
         # the run. No new run is started on them.
         self._failed_ids: set[str] = set()
         self._last_write_s = 0.0
+        # Instant of the last complete event of the present engine, or of the
+        # start of its response, in seconds.
+        self._last_progress_s = 0.0
         self._mean_gap_s = MIN_SILENCE_S / SILENCE_GAP_FACTOR
         self.outcome = Outcome()
 
@@ -244,6 +250,7 @@
         Returns:
             Why the response broke off; None if it is complete.
         """
+        self._last_progress_s = clock.boottime()
         while True:
             data = self._read(current_response)
             if isinstance(data, errors.Failure):
@@ -258,7 +265,13 @@
             if isinstance(complete_events, errors.Failure):
                 return complete_events
             if not complete_events:
+                if self._is_stalled():
+                    return errors.Failure(
+                        errors.Kind.ENDPOINT_SILENT,
+                        "the engine sends bytes but completes no event",
+                    )
                 continue
+            self._last_progress_s = clock.boottime()
             if not self._response_writer.has_started:
                 self._request_crashes.record_first_event()
             self._start_response(head)
@@ -314,26 +327,25 @@
     ) -> bytes | client.BodyEnd | errors.Failure:
         """Reads the next part of a response.
 
-        If the engine sends nothing, the read fails after `_silence_timeout_s`,
-        provided that a copy or backup exists on another engine, that the
+        If the engine completes no event for `_silence_timeout_s`, the read
+        fails, provided that a copy or backup exists on another engine, that the
         response to the caller has started, and that no large body fills the
-        link of this process. Otherwise it fails at the call's deadline.
+        link of this process. Otherwise it fails at the call's deadline. Bytes
+        of an event that is never complete are no progress.
         """
         run = self._run
         deadline_s = run.admitted.deadline_s
         while True:
-            can_fail_early = (
-                run.memory_copy is not None or run.backup_engine is not None
-            )
-            can_fail_early = (
-                can_fail_early and self._response_writer.has_started
-            )
-            timeout_s = (
-                self._silence_timeout_s() if can_fail_early else MAX_SILENCE_S
-            )
+            can_fail_early = self._can_fail_early()
             now_s = clock.boottime()
+            wait_until_s = now_s + MAX_SILENCE_S
+            if can_fail_early:
+                wait_until_s = max(
+                    now_s + _MIN_READ_S,
+                    self._last_progress_s + self._silence_timeout_s(),
+                )
             data = current_response.conn.read_body_part(
-                min(deadline_s, now_s + timeout_s)
+                min(deadline_s, wait_until_s)
             )
             is_silent = (
                 isinstance(data, errors.Failure)
@@ -341,6 +353,7 @@
             )
             if is_silent and self._sender.activity.was_busy_since(now_s):
                 can_fail_early = False
+                self._last_progress_s = clock.boottime()
             if (
                 not is_silent
                 or can_fail_early
@@ -348,6 +361,18 @@
             ):
                 return data
 
+    def _can_fail_early(self) -> bool:
+        """Returns whether the run may be resumed if its engine is silent."""
+        run = self._run
+        return self._response_writer.has_started and (
+            run.memory_copy is not None or run.backup_engine is not None
+        )
+
+    def _is_stalled(self) -> bool:
+        """Returns whether the run is resumed although its engine sends bytes."""
+        silent_s = clock.boottime() - self._last_progress_s
+        return self._can_fail_early() and silent_s > self._silence_timeout_s()
+
     def _silence_timeout_s(self) -> float:
         """Returns after how many seconds without data a run is resumed."""
         timeout_s = SILENCE_GAP_FACTOR * self._mean_gap_s
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -107,6 +107,32 @@
         self.is_closed = True
 
 
+class _DrippingConn:
+    """Returns one event, and then one byte of the next one now and then.
+
+    Attributes:
+        interval_s: Seconds between the bytes.
+    """
+
+    def __init__(self, first_event: bytes, interval_s: float) -> None:
+        self._first_event = first_event
+        self.interval_s = interval_s
+        self.is_closed = False
+
+    def read_body_part(self, deadline_s):
+        if self._first_event:
+            part, self._first_event = self._first_event, b""
+            return part
+        wait_s = deadline_s - clock.boottime()
+        eventlet.sleep(max(0.0, min(self.interval_s, wait_s)))
+        if self.interval_s >= wait_s:
+            return errors.Failure(errors.Kind.ENDPOINT_SILENT, "silent")
+        return b":"
+
+    def close(self):
+        self.is_closed = True
+
+
 class _FakeResponseWriter:
     """Records the response to the caller."""
 
@@ -511,6 +537,53 @@
                 self.assertEqual(self.sender.call_count > 0, is_resumed)
 
 
+class StalledEngineTest(_RelayCase):
+    """Guards against streams that stall, and against slow ones that are cut.
+
+    An engine that sends a byte now and then has not made progress: only whole
+    events count.
+    """
+
+    def test_stalled_stream_is_resumed_or_ends_at_its_deadline(self) -> None:
+        rest = b"id: 2\ndata: b\n\n"
+        # Seconds between bytes, whether there is a backup.
+        for interval_s, has_backup in (
+            (0.002, True),
+            (0.1, True),
+            (0.1, False),
+        ):
+            with self.subTest(interval_s=interval_s, has_backup=has_backup):
+                run = self.start_run("e0")
+                run.admitted.deadline_s = clock.boottime() + 2.0
+                if has_backup:
+                    run.backup_engine = self.view.endpoints["e1"]
+                source = _DrippingConn(b"id: 1\ndata: a\n\n", interval_s)
+                self.sender.resumed = (0.0, 200, _FakeConn(rest))
+                started_s = clock.boottime()
+                outcome = self.relay(run, _FakeResponseWriter(), source)
+                took_s = clock.boottime() - started_s
+                self.assertEqual(outcome.is_complete, has_backup)
+                self.assertTrue(source.is_closed)
+                self.assertLess(took_s, 1.0 if has_backup else 2.2)
+
+    def test_slow_stream_that_makes_progress_is_not_cut(self) -> None:
+        run = self.start_run("e0")
+        run.admitted.deadline_s = clock.boottime() + 5.0
+        parts = [b"id: %d\ndata: a\n\n" % number for number in range(1, 6)]
+
+        class SlowConn(_FakeConn):
+            def read_body_part(self, deadline_s):
+                wait_s = deadline_s - clock.boottime()
+                eventlet.sleep(min(0.5, wait_s))
+                if wait_s < 0.5:
+                    return errors.Failure(errors.Kind.ENDPOINT_SILENT, "")
+                return super().read_body_part(deadline_s)
+
+        outcome = self.relay(run, _FakeResponseWriter(), SlowConn(*parts))
+        self.assertTrue(outcome.is_complete)
+        self.assertEqual(self.sender.call_count, 0)
+
+
 class StoppedStreamTest(_RelayCase):
     """Guards against a stream that was stopped for its migration.
 
