--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -31,8 +31,8 @@
 SILENCE_GAP_FACTOR = 3.0
 MIN_SILENCE_S = 0.12
 MAX_SILENCE_S = 0.8
-# Shortest wait of one read, so that what has arrived already is read even if the
-# engine counts as silent.
+# Shortest wait of one read, so that what has arrived already is read even if
+# the engine counts as silent.
 _MIN_READ_S = 0.01
 # Weight of the newest gap in the moving average of gaps.
 _GAP_WEIGHT = 0.1
@@ -369,7 +369,7 @@
         )
 
     def _is_stalled(self) -> bool:
-        """Returns whether the run is resumed although its engine sends bytes."""
+        """Returns whether to resume the run although bytes arrive."""
         silent_s = clock.boottime() - self._last_progress_s
         return self._can_fail_early() and silent_s > self._silence_timeout_s()
 
