--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -32,6 +32,37 @@
   5: i32 recent_count
 }
 
+// The limit of an endpoint as one process knows it, with the update of its load
+// that it belongs to.
+struct LimitUpdate {
+  1: i32 process
+  2: i32 number
+  3: EndpointLimit limit
+}
+
+// Updates of loads, one entry of each list an update. The entry of `processes`
+// is the id of the process that causes the load, that of `numbers` counts the
+// updates of that process. A later update of the same process and endpoint
+// replaces an earlier one.
+struct LoadUpdates {
+  1: list<i32> processes
+  2: list<i32> numbers
+  3: list<string> endpoint_ids
+  // The fields of `EndpointLoad`.
+  4: list<i32> runs
+  5: list<i32> tokens
+  6: list<i32> prefill_tokens
+  7: list<i32> unsaved_runs
+}
+
+// All loads that one process causes, as of one of its updates.
+struct LoadSnapshot {
+  1: i32 process
+  2: i32 number
+  3: list<EndpointLoad> loads
+  4: list<EndpointLimit> limits
+}
+
 // One start of an endpoint that is about to shut down.
 struct LeavingEndpoint {
   1: string endpoint_id
@@ -94,13 +125,9 @@
   6: i32 failures
   // Sum of the durations of the ended calls in seconds.
   7: double total_s
-  // Calls that ended with success, the sum of the natural logarithms of their
-  // durations in seconds, and the sum of the squares of these logarithms.
-  8: i32 timed
-  9: double log_total
-  10: double log_square_total
-  // The same for each of the most used routes; empty once the rollout has ended.
-  11: list<RouteDurations> routes
+  // Durations of the calls that ended with success, for each of the most used
+  // routes.
+  8: list<RouteDurations> routes
 }
 
 // The final state of a rollout, as it is written to the store.
@@ -111,14 +138,12 @@
   3: string state
 }
 
-// The whole state that a process publishes to its peers; a later heartbeat
-// replaces an earlier one.
-struct Heartbeat {
+// What a process says of itself; a later version replaces an earlier one.
+struct MemberState {
   1: string node
   // Increases with each start of the process.
   2: i64 incarnation
-  // Increases with each heartbeat and load change of the process.
-  3: i64 sequence
+  3: i32 version
   // Host at which the process receives messages from peers.
   4: string host
   5: string availability_zone
@@ -126,46 +151,68 @@
   6: string front
   7: bool ready
   8: bool stopping
-  // Version of the last change of the orders table.
-  9: i64 orders_version
-  // Version of the last change of the endpoints table that affects the choice
-  // of an endpoint.
-  10: i64 endpoints_version
-  // Milliseconds since the store confirmed that the orders table is current;
-  // negative if it was never confirmed.
-  11: i32 confirmed_ms_ago
-  12: list<EndpointLoad> loads
-  // Ids of endpoints that are about to shut down, for processes of older builds.
-  13: list<string> leaving
-  14: list<CrashMark> crashes
-  15: list<VersionCount> versions
-  // Hosts of some other processes, by which peers discover each other.
-  16: list<string> known_hosts
-  // Milliseconds since this process itself read the endpoints table from the
-  // store; negative if it has not read it yet.
-  17: i32 endpoints_read_ms_ago
-  18: list<Verdict> verdicts
+  // Whether the process can read the store.
+  9: bool reads_store
   // Outcomes at the endpoints where so many calls failed recently that peers
   // take these outcomes into account, too.
-  19: list<EndpointHealth> doubtful
-  20: list<PromptCrash> prompt_crashes
+  10: list<EndpointHealth> doubtful
+  11: list<VersionCount> versions
+}
+
+// How long ago processes were alive, one entry of each list a process.
+struct Beats {
+  1: list<i32> processes
+  // In units of 0.05 s.
+  2: list<i32> ages
+}
+
+// What the sender holds of processes, one entry of each list a process, so that
+// the receiver can request what it lacks.
+struct Digests {
+  1: list<i32> processes
+  2: list<i32> state_versions
+  3: list<i32> load_numbers
+}
+
+// What any process has found out, and all should know.
+struct News {
+  1: list<LeavingEndpoint> leaving
+  2: list<CrashMark> crashes
+  3: list<PromptCrash> prompt_crashes
   // Those sound parts that were suspected because of a crash.
-  21: list<SoundPart> sound_parts
-  22: list<EndpointLimit> limits
-  // The endpoints of `leaving`, each with its start.
-  23: list<LeavingEndpoint> leaving_endpoints
+  4: list<SoundPart> sound_parts
+  5: list<Verdict> verdicts
 }
 
-// Loads of those endpoints whose load changed since the last message.
-struct LoadChange {
-  1: string node
-  2: i64 incarnation
-  // In the same sequence as the numbers of the heartbeats.
-  3: i64 sequence
-  // The whole load at each of these endpoints; all zeros if no run is left.
-  4: list<EndpointLoad> loads
-  // Limits of those of these endpoints that have one.
-  5: list<EndpointLimit> limits
+// A datagram between processes. What a process sends is partly its own and
+// partly passed on from others. Lists that would be empty are left out.
+struct Gossip {
+  // Id of the sender, a hash of its name and incarnation.
+  1: i32 process
+  // Version of the sender's last change of the orders table.
+  2: i64 orders_version
+  // Version of the last change of the endpoints table that affects the choice
+  // of an endpoint.
+  3: i64 endpoints_version
+  // Milliseconds since the store confirmed to any process that these tables are
+  // current; negative if the sender knows of no confirmation.
+  4: i32 orders_confirmed_ms_ago
+  5: i32 endpoints_confirmed_ms_ago
+  // Whether the sender sends this to all processes, so that it need not be
+  // passed on.
+  6: bool reaches_all
+  7: LoadUpdates loads
+  8: list<LimitUpdate> limits
+  9: News news
+  10: list<MemberState> states
+  11: list<LoadSnapshot> snapshots
+  12: Beats beats
+  13: Digests digests
+  // Ids of processes whose state, or whose loads, the sender requests.
+  14: list<i32> wanted_states
+  15: list<i32> wanted_loads
+  // Whether the sender requests the states of all processes.
+  16: bool wants_all_states
 }
 
 // A row of a table of the store.
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -248,23 +248,26 @@
         return not (self == other)
 
 
-class LeavingEndpoint(object):
+class LimitUpdate(object):
     """
     Attributes:
-     - endpoint_id
-     - incarnation
+     - process
+     - number
+     - limit
 
     """
 
     __slots__ = (
-        'endpoint_id',
-        'incarnation',
+        'process',
+        'number',
+        'limit',
     )
 
 
-    def __init__(self, endpoint_id=None, incarnation=None,):
-        self.endpoint_id = endpoint_id
-        self.incarnation = incarnation
+    def __init__(self, process=None, number=None, limit=None,):
+        self.process = process
+        self.number = number
+        self.limit = limit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -276,13 +279,19 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.process = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.limit = EndpointLimit()
+                    self.limit.read(iprot)
                 else:
                     iprot.skip(ftype)
             else:
@@ -294,14 +303,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('LeavingEndpoint')
-        if self.endpoint_id is not None:
-            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
-            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+        oprot.writeStructBegin('LimitUpdate')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.I32, 1)
+            oprot.writeI32(self.process)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
-            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 2)
+            oprot.writeI32(self.number)
+            oprot.writeFieldEnd()
+        if self.limit is not None:
+            oprot.writeFieldBegin('limit', TType.STRUCT, 3)
+            self.limit.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -328,23 +341,38 @@
         return not (self == other)
 
 
-class CrashMark(object):
+class LoadUpdates(object):
     """
     Attributes:
-     - fingerprint
-     - endpoint_id
+     - processes
+     - numbers
+     - endpoint_ids
+     - runs
+     - tokens
+     - prefill_tokens
+     - unsaved_runs
 
     """
 
     __slots__ = (
-        'fingerprint',
-        'endpoint_id',
+        'processes',
+        'numbers',
+        'endpoint_ids',
+        'runs',
+        'tokens',
+        'prefill_tokens',
+        'unsaved_runs',
     )
 
 
-    def __init__(self, fingerprint=None, endpoint_id=None,):
-        self.fingerprint = fingerprint
-        self.endpoint_id = endpoint_id
+    def __init__(self, processes=None, numbers=None, endpoint_ids=None, runs=None, tokens=None, prefill_tokens=None, unsaved_runs=None,):
+        self.processes = processes
+        self.numbers = numbers
+        self.endpoint_ids = endpoint_ids
+        self.runs = runs
+        self.tokens = tokens
+        self.prefill_tokens = prefill_tokens
+        self.unsaved_runs = unsaved_runs
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -356,13 +384,73 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.processes = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = iprot.readI32()
+                        self.processes.append(_elem5)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.numbers = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = iprot.readI32()
+                        self.numbers.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.endpoint_ids = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.endpoint_ids.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.runs = []
+                    (_etype21, _size18) = iprot.readListBegin()
+                    for _i22 in range(_size18):
+                        _elem23 = iprot.readI32()
+                        self.runs.append(_elem23)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.tokens = []
+                    (_etype27, _size24) = iprot.readListBegin()
+                    for _i28 in range(_size24):
+                        _elem29 = iprot.readI32()
+                        self.tokens.append(_elem29)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.prefill_tokens = []
+                    (_etype33, _size30) = iprot.readListBegin()
+                    for _i34 in range(_size30):
+                        _elem35 = iprot.readI32()
+                        self.prefill_tokens.append(_elem35)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.unsaved_runs = []
+                    (_etype39, _size36) = iprot.readListBegin()
+                    for _i40 in range(_size36):
+                        _elem41 = iprot.readI32()
+                        self.unsaved_runs.append(_elem41)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -374,14 +462,55 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('CrashMark')
-        if self.fingerprint is not None:
-            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
-            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+        oprot.writeStructBegin('LoadUpdates')
+        if self.processes is not None:
+            oprot.writeFieldBegin('processes', TType.LIST, 1)
+            oprot.writeListBegin(TType.I32, len(self.processes))
+            for iter42 in self.processes:
+                oprot.writeI32(iter42)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.endpoint_id is not None:
-            oprot.writeFieldBegin('endpoint_id', TType.STRING, 2)
-            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
+        if self.numbers is not None:
+            oprot.writeFieldBegin('numbers', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.numbers))
+            for iter43 in self.numbers:
+                oprot.writeI32(iter43)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.endpoint_ids is not None:
+            oprot.writeFieldBegin('endpoint_ids', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRING, len(self.endpoint_ids))
+            for iter44 in self.endpoint_ids:
+                oprot.writeString(iter44.encode('utf-8') if sys.version_info[0] == 2 else iter44)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.runs is not None:
+            oprot.writeFieldBegin('runs', TType.LIST, 4)
+            oprot.writeListBegin(TType.I32, len(self.runs))
+            for iter45 in self.runs:
+                oprot.writeI32(iter45)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.LIST, 5)
+            oprot.writeListBegin(TType.I32, len(self.tokens))
+            for iter46 in self.tokens:
+                oprot.writeI32(iter46)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.prefill_tokens is not None:
+            oprot.writeFieldBegin('prefill_tokens', TType.LIST, 6)
+            oprot.writeListBegin(TType.I32, len(self.prefill_tokens))
+            for iter47 in self.prefill_tokens:
+                oprot.writeI32(iter47)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.unsaved_runs is not None:
+            oprot.writeFieldBegin('unsaved_runs', TType.LIST, 7)
+            oprot.writeListBegin(TType.I32, len(self.unsaved_runs))
+            for iter48 in self.unsaved_runs:
+                oprot.writeI32(iter48)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -408,26 +537,29 @@
         return not (self == other)
 
 
-class PromptCrash(object):
+class LoadSnapshot(object):
     """
     Attributes:
-     - part_ids
-     - incarnation
-     - ms_ago
+     - process
+     - number
+     - loads
+     - limits
 
     """
 
     __slots__ = (
-        'part_ids',
-        'incarnation',
-        'ms_ago',
+        'process',
+        'number',
+        'loads',
+        'limits',
     )
 
 
-    def __init__(self, part_ids=None, incarnation=None, ms_ago=None,):
-        self.part_ids = part_ids
-        self.incarnation = incarnation
-        self.ms_ago = ms_ago
+    def __init__(self, process=None, number=None, loads=None, limits=None,):
+        self.process = process
+        self.number = number
+        self.loads = loads
+        self.limits = limits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -439,23 +571,35 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.LIST:
-                    self.part_ids = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.part_ids.append(_elem5)
-                    iprot.readListEnd()
+                if ftype == TType.I32:
+                    self.process = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.number = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I32:
-                    self.ms_ago = iprot.readI32()
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = EndpointLoad()
+                        _elem54.read(iprot)
+                        self.loads.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.limits = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = EndpointLimit()
+                        _elem60.read(iprot)
+                        self.limits.append(_elem60)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -467,21 +611,28 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('PromptCrash')
-        if self.part_ids is not None:
-            oprot.writeFieldBegin('part_ids', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRING, len(self.part_ids))
-            for iter6 in self.part_ids:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
-            oprot.writeListEnd()
+        oprot.writeStructBegin('LoadSnapshot')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.I32, 1)
+            oprot.writeI32(self.process)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
-            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I32, 2)
+            oprot.writeI32(self.number)
             oprot.writeFieldEnd()
-        if self.ms_ago is not None:
-            oprot.writeFieldBegin('ms_ago', TType.I32, 3)
-            oprot.writeI32(self.ms_ago)
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter61 in self.loads:
+                iter61.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.limits is not None:
+            oprot.writeFieldBegin('limits', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.limits))
+            for iter62 in self.limits:
+                iter62.write(oprot)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -508,23 +659,23 @@
         return not (self == other)
 
 
-class SoundPart(object):
+class LeavingEndpoint(object):
     """
     Attributes:
-     - part_id
-     - ms_ago
+     - endpoint_id
+     - incarnation
 
     """
 
     __slots__ = (
-        'part_id',
-        'ms_ago',
+        'endpoint_id',
+        'incarnation',
     )
 
 
-    def __init__(self, part_id=None, ms_ago=None,):
-        self.part_id = part_id
-        self.ms_ago = ms_ago
+    def __init__(self, endpoint_id=None, incarnation=None,):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -537,12 +688,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.part_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.ms_ago = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -554,14 +705,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('SoundPart')
-        if self.part_id is not None:
-            oprot.writeFieldBegin('part_id', TType.STRING, 1)
-            oprot.writeString(self.part_id.encode('utf-8') if sys.version_info[0] == 2 else self.part_id)
+        oprot.writeStructBegin('LeavingEndpoint')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
             oprot.writeFieldEnd()
-        if self.ms_ago is not None:
-            oprot.writeFieldBegin('ms_ago', TType.I32, 2)
-            oprot.writeI32(self.ms_ago)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -588,26 +739,23 @@
         return not (self == other)
 
 
-class EndpointHealth(object):
+class CrashMark(object):
     """
     Attributes:
+     - fingerprint
      - endpoint_id
-     - answers
-     - failures
 
     """
 
     __slots__ = (
+        'fingerprint',
         'endpoint_id',
-        'answers',
-        'failures',
     )
 
 
-    def __init__(self, endpoint_id=None, answers=None, failures=None,):
+    def __init__(self, fingerprint=None, endpoint_id=None,):
+        self.fingerprint = fingerprint
         self.endpoint_id = endpoint_id
-        self.answers = answers
-        self.failures = failures
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -620,17 +768,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.fingerprint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.DOUBLE:
-                    self.answers = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.failures = iprot.readDouble()
+                if ftype == TType.STRING:
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -642,19 +785,15 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('EndpointHealth')
+        oprot.writeStructBegin('CrashMark')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeString(self.fingerprint.encode('utf-8') if sys.version_info[0] == 2 else self.fingerprint)
+            oprot.writeFieldEnd()
         if self.endpoint_id is not None:
-            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 2)
             oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
             oprot.writeFieldEnd()
-        if self.answers is not None:
-            oprot.writeFieldBegin('answers', TType.DOUBLE, 2)
-            oprot.writeDouble(self.answers)
-            oprot.writeFieldEnd()
-        if self.failures is not None:
-            oprot.writeFieldBegin('failures', TType.DOUBLE, 3)
-            oprot.writeDouble(self.failures)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -680,30 +819,27 @@
         return not (self == other)
 
 
-class RouteDurations(object):
+class PromptCrash(object):
     """
     Attributes:
-     - route
-     - timed
-     - log_total
-     - log_square_total
+     - part_ids
+     - incarnation
+     - ms_ago
 
     """
 
     __slots__ = (
-        'route',
-        'timed',
-        'log_total',
-        'log_square_total',
+        'part_ids',
+        'incarnation',
+        'ms_ago',
     )
 
 
-    def __init__(self, route=None, timed=None, log_total=None, log_square_total=None,):
-        self.route = route
-        self.timed = timed
-        self.log_total = log_total
-        self.log_square_total = log_square_total
-
+    def __init__(self, part_ids=None, incarnation=None, ms_ago=None,):
+        self.part_ids = part_ids
+        self.incarnation = incarnation
+        self.ms_ago = ms_ago
+
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
             iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
@@ -714,23 +850,23 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.LIST:
+                    self.part_ids = []
+                    (_etype66, _size63) = iprot.readListBegin()
+                    for _i67 in range(_size63):
+                        _elem68 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.part_ids.append(_elem68)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.timed = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.DOUBLE:
-                    self.log_total = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.DOUBLE:
-                    self.log_square_total = iprot.readDouble()
+                if ftype == TType.I32:
+                    self.ms_ago = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -742,22 +878,21 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('RouteDurations')
-        if self.route is not None:
-            oprot.writeFieldBegin('route', TType.STRING, 1)
-            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
-            oprot.writeFieldEnd()
-        if self.timed is not None:
-            oprot.writeFieldBegin('timed', TType.I32, 2)
-            oprot.writeI32(self.timed)
+        oprot.writeStructBegin('PromptCrash')
+        if self.part_ids is not None:
+            oprot.writeFieldBegin('part_ids', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRING, len(self.part_ids))
+            for iter69 in self.part_ids:
+                oprot.writeString(iter69.encode('utf-8') if sys.version_info[0] == 2 else iter69)
+            oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.log_total is not None:
-            oprot.writeFieldBegin('log_total', TType.DOUBLE, 3)
-            oprot.writeDouble(self.log_total)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
-        if self.log_square_total is not None:
-            oprot.writeFieldBegin('log_square_total', TType.DOUBLE, 4)
-            oprot.writeDouble(self.log_square_total)
+        if self.ms_ago is not None:
+            oprot.writeFieldBegin('ms_ago', TType.I32, 3)
+            oprot.writeI32(self.ms_ago)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -784,50 +919,23 @@
         return not (self == other)
 
 
-class VersionCount(object):
+class SoundPart(object):
     """
     Attributes:
-     - service_name
-     - order_version
-     - is_new
-     - sent
-     - answers
-     - failures
-     - total_s
-     - timed
-     - log_total
-     - log_square_total
-     - routes
+     - part_id
+     - ms_ago
 
     """
 
     __slots__ = (
-        'service_name',
-        'order_version',
-        'is_new',
-        'sent',
-        'answers',
-        'failures',
-        'total_s',
-        'timed',
-        'log_total',
-        'log_square_total',
-        'routes',
+        'part_id',
+        'ms_ago',
     )
 
 
-    def __init__(self, service_name=None, order_version=None, is_new=None, sent=None, answers=None, failures=None, total_s=None, timed=None, log_total=None, log_square_total=None, routes=None,):
-        self.service_name = service_name
-        self.order_version = order_version
-        self.is_new = is_new
-        self.sent = sent
-        self.answers = answers
-        self.failures = failures
-        self.total_s = total_s
-        self.timed = timed
-        self.log_total = log_total
-        self.log_square_total = log_square_total
-        self.routes = routes
+    def __init__(self, part_id=None, ms_ago=None,):
+        self.part_id = part_id
+        self.ms_ago = ms_ago
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -840,63 +948,12 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.part_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.order_version = iprot.readI64()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.BOOL:
-                    self.is_new = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.I32:
-                    self.sent = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.I32:
-                    self.answers = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 6:
                 if ftype == TType.I32:
-                    self.failures = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 7:
-                if ftype == TType.DOUBLE:
-                    self.total_s = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 8:
-                if ftype == TType.I32:
-                    self.timed = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 9:
-                if ftype == TType.DOUBLE:
-                    self.log_total = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.DOUBLE:
-                    self.log_square_total = iprot.readDouble()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 11:
-                if ftype == TType.LIST:
-                    self.routes = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = RouteDurations()
-                        _elem12.read(iprot)
-                        self.routes.append(_elem12)
-                    iprot.readListEnd()
+                    self.ms_ago = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -908,53 +965,14 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('VersionCount')
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 1)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
-            oprot.writeFieldEnd()
-        if self.order_version is not None:
-            oprot.writeFieldBegin('order_version', TType.I64, 2)
-            oprot.writeI64(self.order_version)
-            oprot.writeFieldEnd()
-        if self.is_new is not None:
-            oprot.writeFieldBegin('is_new', TType.BOOL, 3)
-            oprot.writeBool(self.is_new)
-            oprot.writeFieldEnd()
-        if self.sent is not None:
-            oprot.writeFieldBegin('sent', TType.I32, 4)
-            oprot.writeI32(self.sent)
-            oprot.writeFieldEnd()
-        if self.answers is not None:
-            oprot.writeFieldBegin('answers', TType.I32, 5)
-            oprot.writeI32(self.answers)
-            oprot.writeFieldEnd()
-        if self.failures is not None:
-            oprot.writeFieldBegin('failures', TType.I32, 6)
-            oprot.writeI32(self.failures)
-            oprot.writeFieldEnd()
-        if self.total_s is not None:
-            oprot.writeFieldBegin('total_s', TType.DOUBLE, 7)
-            oprot.writeDouble(self.total_s)
-            oprot.writeFieldEnd()
-        if self.timed is not None:
-            oprot.writeFieldBegin('timed', TType.I32, 8)
-            oprot.writeI32(self.timed)
-            oprot.writeFieldEnd()
-        if self.log_total is not None:
-            oprot.writeFieldBegin('log_total', TType.DOUBLE, 9)
-            oprot.writeDouble(self.log_total)
-            oprot.writeFieldEnd()
-        if self.log_square_total is not None:
-            oprot.writeFieldBegin('log_square_total', TType.DOUBLE, 10)
-            oprot.writeDouble(self.log_square_total)
+        oprot.writeStructBegin('SoundPart')
+        if self.part_id is not None:
+            oprot.writeFieldBegin('part_id', TType.STRING, 1)
+            oprot.writeString(self.part_id.encode('utf-8') if sys.version_info[0] == 2 else self.part_id)
             oprot.writeFieldEnd()
-        if self.routes is not None:
-            oprot.writeFieldBegin('routes', TType.LIST, 11)
-            oprot.writeListBegin(TType.STRUCT, len(self.routes))
-            for iter13 in self.routes:
-                iter13.write(oprot)
-            oprot.writeListEnd()
+        if self.ms_ago is not None:
+            oprot.writeFieldBegin('ms_ago', TType.I32, 2)
+            oprot.writeI32(self.ms_ago)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -981,26 +999,26 @@
         return not (self == other)
 
 
-class Verdict(object):
+class EndpointHealth(object):
     """
     Attributes:
-     - service_name
-     - order_version
-     - state
+     - endpoint_id
+     - answers
+     - failures
 
     """
 
     __slots__ = (
-        'service_name',
-        'order_version',
-        'state',
+        'endpoint_id',
+        'answers',
+        'failures',
     )
 
 
-    def __init__(self, service_name=None, order_version=None, state=None,):
-        self.service_name = service_name
-        self.order_version = order_version
-        self.state = state
+    def __init__(self, endpoint_id=None, answers=None, failures=None,):
+        self.endpoint_id = endpoint_id
+        self.answers = answers
+        self.failures = failures
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1013,17 +1031,17 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.endpoint_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I64:
-                    self.order_version = iprot.readI64()
+                if ftype == TType.DOUBLE:
+                    self.answers = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.DOUBLE:
+                    self.failures = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1035,18 +1053,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Verdict')
-        if self.service_name is not None:
-            oprot.writeFieldBegin('service_name', TType.STRING, 1)
-            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+        oprot.writeStructBegin('EndpointHealth')
+        if self.endpoint_id is not None:
+            oprot.writeFieldBegin('endpoint_id', TType.STRING, 1)
+            oprot.writeString(self.endpoint_id.encode('utf-8') if sys.version_info[0] == 2 else self.endpoint_id)
             oprot.writeFieldEnd()
-        if self.order_version is not None:
-            oprot.writeFieldBegin('order_version', TType.I64, 2)
-            oprot.writeI64(self.order_version)
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.DOUBLE, 2)
+            oprot.writeDouble(self.answers)
             oprot.writeFieldEnd()
-        if self.state is not None:
-            oprot.writeFieldBegin('state', TType.STRING, 3)
-            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.DOUBLE, 3)
+            oprot.writeDouble(self.failures)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1073,86 +1091,407 @@
         return not (self == other)
 
 
-class Heartbeat(object):
+class RouteDurations(object):
     """
     Attributes:
-     - node
-     - incarnation
-     - sequence
-     - host
-     - availability_zone
-     - front
-     - ready
-     - stopping
-     - orders_version
-     - endpoints_version
-     - confirmed_ms_ago
-     - loads
-     - leaving
-     - crashes
-     - versions
-     - known_hosts
-     - endpoints_read_ms_ago
-     - verdicts
-     - doubtful
-     - prompt_crashes
-     - sound_parts
-     - limits
-     - leaving_endpoints
+     - route
+     - timed
+     - log_total
+     - log_square_total
+
+    """
+
+    __slots__ = (
+        'route',
+        'timed',
+        'log_total',
+        'log_square_total',
+    )
+
+
+    def __init__(self, route=None, timed=None, log_total=None, log_square_total=None,):
+        self.route = route
+        self.timed = timed
+        self.log_total = log_total
+        self.log_square_total = log_square_total
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.route = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.timed = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.DOUBLE:
+                    self.log_total = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.log_square_total = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RouteDurations')
+        if self.route is not None:
+            oprot.writeFieldBegin('route', TType.STRING, 1)
+            oprot.writeString(self.route.encode('utf-8') if sys.version_info[0] == 2 else self.route)
+            oprot.writeFieldEnd()
+        if self.timed is not None:
+            oprot.writeFieldBegin('timed', TType.I32, 2)
+            oprot.writeI32(self.timed)
+            oprot.writeFieldEnd()
+        if self.log_total is not None:
+            oprot.writeFieldBegin('log_total', TType.DOUBLE, 3)
+            oprot.writeDouble(self.log_total)
+            oprot.writeFieldEnd()
+        if self.log_square_total is not None:
+            oprot.writeFieldBegin('log_square_total', TType.DOUBLE, 4)
+            oprot.writeDouble(self.log_square_total)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class VersionCount(object):
+    """
+    Attributes:
+     - service_name
+     - order_version
+     - is_new
+     - sent
+     - answers
+     - failures
+     - total_s
+     - routes
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'order_version',
+        'is_new',
+        'sent',
+        'answers',
+        'failures',
+        'total_s',
+        'routes',
+    )
+
+
+    def __init__(self, service_name=None, order_version=None, is_new=None, sent=None, answers=None, failures=None, total_s=None, routes=None,):
+        self.service_name = service_name
+        self.order_version = order_version
+        self.is_new = is_new
+        self.sent = sent
+        self.answers = answers
+        self.failures = failures
+        self.total_s = total_s
+        self.routes = routes
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.order_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_new = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.sent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.answers = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.failures = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.total_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.routes = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = RouteDurations()
+                        _elem75.read(iprot)
+                        self.routes.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('VersionCount')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.order_version is not None:
+            oprot.writeFieldBegin('order_version', TType.I64, 2)
+            oprot.writeI64(self.order_version)
+            oprot.writeFieldEnd()
+        if self.is_new is not None:
+            oprot.writeFieldBegin('is_new', TType.BOOL, 3)
+            oprot.writeBool(self.is_new)
+            oprot.writeFieldEnd()
+        if self.sent is not None:
+            oprot.writeFieldBegin('sent', TType.I32, 4)
+            oprot.writeI32(self.sent)
+            oprot.writeFieldEnd()
+        if self.answers is not None:
+            oprot.writeFieldBegin('answers', TType.I32, 5)
+            oprot.writeI32(self.answers)
+            oprot.writeFieldEnd()
+        if self.failures is not None:
+            oprot.writeFieldBegin('failures', TType.I32, 6)
+            oprot.writeI32(self.failures)
+            oprot.writeFieldEnd()
+        if self.total_s is not None:
+            oprot.writeFieldBegin('total_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.total_s)
+            oprot.writeFieldEnd()
+        if self.routes is not None:
+            oprot.writeFieldBegin('routes', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.routes))
+            for iter76 in self.routes:
+                iter76.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Verdict(object):
+    """
+    Attributes:
+     - service_name
+     - order_version
+     - state
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'order_version',
+        'state',
+    )
+
+
+    def __init__(self, service_name=None, order_version=None, state=None,):
+        self.service_name = service_name
+        self.order_version = order_version
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.order_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Verdict')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.order_version is not None:
+            oprot.writeFieldBegin('order_version', TType.I64, 2)
+            oprot.writeI64(self.order_version)
+            oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 3)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class MemberState(object):
+    """
+    Attributes:
+     - node
+     - incarnation
+     - version
+     - host
+     - availability_zone
+     - front
+     - ready
+     - stopping
+     - reads_store
+     - doubtful
+     - versions
 
     """
 
     __slots__ = (
         'node',
         'incarnation',
-        'sequence',
+        'version',
         'host',
         'availability_zone',
         'front',
         'ready',
         'stopping',
-        'orders_version',
-        'endpoints_version',
-        'confirmed_ms_ago',
-        'loads',
-        'leaving',
-        'crashes',
-        'versions',
-        'known_hosts',
-        'endpoints_read_ms_ago',
-        'verdicts',
+        'reads_store',
         'doubtful',
-        'prompt_crashes',
-        'sound_parts',
-        'limits',
-        'leaving_endpoints',
+        'versions',
     )
 
 
-    def __init__(self, node=None, incarnation=None, sequence=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, orders_version=None, endpoints_version=None, confirmed_ms_ago=None, loads=None, leaving=None, crashes=None, versions=None, known_hosts=None, endpoints_read_ms_ago=None, verdicts=None, doubtful=None, prompt_crashes=None, sound_parts=None, limits=None, leaving_endpoints=None,):
+    def __init__(self, node=None, incarnation=None, version=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, reads_store=None, doubtful=None, versions=None,):
         self.node = node
         self.incarnation = incarnation
-        self.sequence = sequence
+        self.version = version
         self.host = host
         self.availability_zone = availability_zone
         self.front = front
         self.ready = ready
         self.stopping = stopping
-        self.orders_version = orders_version
-        self.endpoints_version = endpoints_version
-        self.confirmed_ms_ago = confirmed_ms_ago
-        self.loads = loads
-        self.leaving = leaving
-        self.crashes = crashes
-        self.versions = versions
-        self.known_hosts = known_hosts
-        self.endpoints_read_ms_ago = endpoints_read_ms_ago
-        self.verdicts = verdicts
+        self.reads_store = reads_store
         self.doubtful = doubtful
-        self.prompt_crashes = prompt_crashes
-        self.sound_parts = sound_parts
-        self.limits = limits
-        self.leaving_endpoints = leaving_endpoints
+        self.versions = versions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1174,8 +1513,8 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                if ftype == TType.I32:
+                    self.version = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
@@ -1204,141 +1543,417 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 9:
-                if ftype == TType.I64:
-                    self.orders_version = iprot.readI64()
+                if ftype == TType.BOOL:
+                    self.reads_store = iprot.readBool()
                 else:
                     iprot.skip(ftype)
             elif fid == 10:
-                if ftype == TType.I64:
-                    self.endpoints_version = iprot.readI64()
+                if ftype == TType.LIST:
+                    self.doubtful = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = EndpointHealth()
+                        _elem82.read(iprot)
+                        self.doubtful.append(_elem82)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
-                if ftype == TType.I32:
-                    self.confirmed_ms_ago = iprot.readI32()
+                if ftype == TType.LIST:
+                    self.versions = []
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = VersionCount()
+                        _elem88.read(iprot)
+                        self.versions.append(_elem88)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 12:
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberState')
+        if self.node is not None:
+            oprot.writeFieldBegin('node', TType.STRING, 1)
+            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I32, 3)
+            oprot.writeI32(self.version)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 4)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 5)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.front is not None:
+            oprot.writeFieldBegin('front', TType.STRING, 6)
+            oprot.writeString(self.front.encode('utf-8') if sys.version_info[0] == 2 else self.front)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 7)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.stopping is not None:
+            oprot.writeFieldBegin('stopping', TType.BOOL, 8)
+            oprot.writeBool(self.stopping)
+            oprot.writeFieldEnd()
+        if self.reads_store is not None:
+            oprot.writeFieldBegin('reads_store', TType.BOOL, 9)
+            oprot.writeBool(self.reads_store)
+            oprot.writeFieldEnd()
+        if self.doubtful is not None:
+            oprot.writeFieldBegin('doubtful', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.doubtful))
+            for iter89 in self.doubtful:
+                iter89.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.versions is not None:
+            oprot.writeFieldBegin('versions', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.versions))
+            for iter90 in self.versions:
+                iter90.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Beats(object):
+    """
+    Attributes:
+     - processes
+     - ages
+
+    """
+
+    __slots__ = (
+        'processes',
+        'ages',
+    )
+
+
+    def __init__(self, processes=None, ages=None,):
+        self.processes = processes
+        self.ages = ages
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
                 if ftype == TType.LIST:
-                    self.loads = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = EndpointLoad()
-                        _elem19.read(iprot)
-                        self.loads.append(_elem19)
+                    self.processes = []
+                    (_etype94, _size91) = iprot.readListBegin()
+                    for _i95 in range(_size91):
+                        _elem96 = iprot.readI32()
+                        self.processes.append(_elem96)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 13:
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.ages = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readI32()
+                        self.ages.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Beats')
+        if self.processes is not None:
+            oprot.writeFieldBegin('processes', TType.LIST, 1)
+            oprot.writeListBegin(TType.I32, len(self.processes))
+            for iter103 in self.processes:
+                oprot.writeI32(iter103)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ages is not None:
+            oprot.writeFieldBegin('ages', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.ages))
+            for iter104 in self.ages:
+                oprot.writeI32(iter104)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Digests(object):
+    """
+    Attributes:
+     - processes
+     - state_versions
+     - load_numbers
+
+    """
+
+    __slots__ = (
+        'processes',
+        'state_versions',
+        'load_numbers',
+    )
+
+
+    def __init__(self, processes=None, state_versions=None, load_numbers=None,):
+        self.processes = processes
+        self.state_versions = state_versions
+        self.load_numbers = load_numbers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.processes = []
+                    (_etype108, _size105) = iprot.readListBegin()
+                    for _i109 in range(_size105):
+                        _elem110 = iprot.readI32()
+                        self.processes.append(_elem110)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.state_versions = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = iprot.readI32()
+                        self.state_versions.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.load_numbers = []
+                    (_etype120, _size117) = iprot.readListBegin()
+                    for _i121 in range(_size117):
+                        _elem122 = iprot.readI32()
+                        self.load_numbers.append(_elem122)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Digests')
+        if self.processes is not None:
+            oprot.writeFieldBegin('processes', TType.LIST, 1)
+            oprot.writeListBegin(TType.I32, len(self.processes))
+            for iter123 in self.processes:
+                oprot.writeI32(iter123)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.state_versions is not None:
+            oprot.writeFieldBegin('state_versions', TType.LIST, 2)
+            oprot.writeListBegin(TType.I32, len(self.state_versions))
+            for iter124 in self.state_versions:
+                oprot.writeI32(iter124)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.load_numbers is not None:
+            oprot.writeFieldBegin('load_numbers', TType.LIST, 3)
+            oprot.writeListBegin(TType.I32, len(self.load_numbers))
+            for iter125 in self.load_numbers:
+                oprot.writeI32(iter125)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class News(object):
+    """
+    Attributes:
+     - leaving
+     - crashes
+     - prompt_crashes
+     - sound_parts
+     - verdicts
+
+    """
+
+    __slots__ = (
+        'leaving',
+        'crashes',
+        'prompt_crashes',
+        'sound_parts',
+        'verdicts',
+    )
+
+
+    def __init__(self, leaving=None, crashes=None, prompt_crashes=None, sound_parts=None, verdicts=None,):
+        self.leaving = leaving
+        self.crashes = crashes
+        self.prompt_crashes = prompt_crashes
+        self.sound_parts = sound_parts
+        self.verdicts = verdicts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
                 if ftype == TType.LIST:
                     self.leaving = []
-                    (_etype23, _size20) = iprot.readListBegin()
-                    for _i24 in range(_size20):
-                        _elem25 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving.append(_elem25)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = LeavingEndpoint()
+                        _elem131.read(iprot)
+                        self.leaving.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 14:
+            elif fid == 2:
                 if ftype == TType.LIST:
                     self.crashes = []
-                    (_etype29, _size26) = iprot.readListBegin()
-                    for _i30 in range(_size26):
-                        _elem31 = CrashMark()
-                        _elem31.read(iprot)
-                        self.crashes.append(_elem31)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 15:
-                if ftype == TType.LIST:
-                    self.versions = []
-                    (_etype35, _size32) = iprot.readListBegin()
-                    for _i36 in range(_size32):
-                        _elem37 = VersionCount()
-                        _elem37.read(iprot)
-                        self.versions.append(_elem37)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 16:
-                if ftype == TType.LIST:
-                    self.known_hosts = []
-                    (_etype41, _size38) = iprot.readListBegin()
-                    for _i42 in range(_size38):
-                        _elem43 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.known_hosts.append(_elem43)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 17:
-                if ftype == TType.I32:
-                    self.endpoints_read_ms_ago = iprot.readI32()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 18:
-                if ftype == TType.LIST:
-                    self.verdicts = []
-                    (_etype47, _size44) = iprot.readListBegin()
-                    for _i48 in range(_size44):
-                        _elem49 = Verdict()
-                        _elem49.read(iprot)
-                        self.verdicts.append(_elem49)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = CrashMark()
+                        _elem137.read(iprot)
+                        self.crashes.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 19:
-                if ftype == TType.LIST:
-                    self.doubtful = []
-                    (_etype53, _size50) = iprot.readListBegin()
-                    for _i54 in range(_size50):
-                        _elem55 = EndpointHealth()
-                        _elem55.read(iprot)
-                        self.doubtful.append(_elem55)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 20:
+            elif fid == 3:
                 if ftype == TType.LIST:
                     self.prompt_crashes = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = PromptCrash()
-                        _elem61.read(iprot)
-                        self.prompt_crashes.append(_elem61)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = PromptCrash()
+                        _elem143.read(iprot)
+                        self.prompt_crashes.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 21:
+            elif fid == 4:
                 if ftype == TType.LIST:
                     self.sound_parts = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = SoundPart()
-                        _elem67.read(iprot)
-                        self.sound_parts.append(_elem67)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 22:
-                if ftype == TType.LIST:
-                    self.limits = []
-                    (_etype71, _size68) = iprot.readListBegin()
-                    for _i72 in range(_size68):
-                        _elem73 = EndpointLimit()
-                        _elem73.read(iprot)
-                        self.limits.append(_elem73)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = SoundPart()
+                        _elem149.read(iprot)
+                        self.sound_parts.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 23:
+            elif fid == 5:
                 if ftype == TType.LIST:
-                    self.leaving_endpoints = []
-                    (_etype77, _size74) = iprot.readListBegin()
-                    for _i78 in range(_size74):
-                        _elem79 = LeavingEndpoint()
-                        _elem79.read(iprot)
-                        self.leaving_endpoints.append(_elem79)
+                    self.verdicts = []
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = Verdict()
+                        _elem155.read(iprot)
+                        self.verdicts.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1351,130 +1966,40 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Heartbeat')
-        if self.node is not None:
-            oprot.writeFieldBegin('node', TType.STRING, 1)
-            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
-            oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
-            oprot.writeFieldEnd()
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 3)
-            oprot.writeI64(self.sequence)
-            oprot.writeFieldEnd()
-        if self.host is not None:
-            oprot.writeFieldBegin('host', TType.STRING, 4)
-            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
-            oprot.writeFieldEnd()
-        if self.availability_zone is not None:
-            oprot.writeFieldBegin('availability_zone', TType.STRING, 5)
-            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
-            oprot.writeFieldEnd()
-        if self.front is not None:
-            oprot.writeFieldBegin('front', TType.STRING, 6)
-            oprot.writeString(self.front.encode('utf-8') if sys.version_info[0] == 2 else self.front)
-            oprot.writeFieldEnd()
-        if self.ready is not None:
-            oprot.writeFieldBegin('ready', TType.BOOL, 7)
-            oprot.writeBool(self.ready)
-            oprot.writeFieldEnd()
-        if self.stopping is not None:
-            oprot.writeFieldBegin('stopping', TType.BOOL, 8)
-            oprot.writeBool(self.stopping)
-            oprot.writeFieldEnd()
-        if self.orders_version is not None:
-            oprot.writeFieldBegin('orders_version', TType.I64, 9)
-            oprot.writeI64(self.orders_version)
-            oprot.writeFieldEnd()
-        if self.endpoints_version is not None:
-            oprot.writeFieldBegin('endpoints_version', TType.I64, 10)
-            oprot.writeI64(self.endpoints_version)
-            oprot.writeFieldEnd()
-        if self.confirmed_ms_ago is not None:
-            oprot.writeFieldBegin('confirmed_ms_ago', TType.I32, 11)
-            oprot.writeI32(self.confirmed_ms_ago)
-            oprot.writeFieldEnd()
-        if self.loads is not None:
-            oprot.writeFieldBegin('loads', TType.LIST, 12)
-            oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter80 in self.loads:
-                iter80.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
+        oprot.writeStructBegin('News')
         if self.leaving is not None:
-            oprot.writeFieldBegin('leaving', TType.LIST, 13)
-            oprot.writeListBegin(TType.STRING, len(self.leaving))
-            for iter81 in self.leaving:
-                oprot.writeString(iter81.encode('utf-8') if sys.version_info[0] == 2 else iter81)
+            oprot.writeFieldBegin('leaving', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter156 in self.leaving:
+                iter156.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.crashes is not None:
-            oprot.writeFieldBegin('crashes', TType.LIST, 14)
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.crashes))
-            for iter82 in self.crashes:
-                iter82.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.versions is not None:
-            oprot.writeFieldBegin('versions', TType.LIST, 15)
-            oprot.writeListBegin(TType.STRUCT, len(self.versions))
-            for iter83 in self.versions:
-                iter83.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.known_hosts is not None:
-            oprot.writeFieldBegin('known_hosts', TType.LIST, 16)
-            oprot.writeListBegin(TType.STRING, len(self.known_hosts))
-            for iter84 in self.known_hosts:
-                oprot.writeString(iter84.encode('utf-8') if sys.version_info[0] == 2 else iter84)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.endpoints_read_ms_ago is not None:
-            oprot.writeFieldBegin('endpoints_read_ms_ago', TType.I32, 17)
-            oprot.writeI32(self.endpoints_read_ms_ago)
-            oprot.writeFieldEnd()
-        if self.verdicts is not None:
-            oprot.writeFieldBegin('verdicts', TType.LIST, 18)
-            oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
-            for iter85 in self.verdicts:
-                iter85.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.doubtful is not None:
-            oprot.writeFieldBegin('doubtful', TType.LIST, 19)
-            oprot.writeListBegin(TType.STRUCT, len(self.doubtful))
-            for iter86 in self.doubtful:
-                iter86.write(oprot)
+            for iter157 in self.crashes:
+                iter157.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.prompt_crashes is not None:
-            oprot.writeFieldBegin('prompt_crashes', TType.LIST, 20)
+            oprot.writeFieldBegin('prompt_crashes', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prompt_crashes))
-            for iter87 in self.prompt_crashes:
-                iter87.write(oprot)
+            for iter158 in self.prompt_crashes:
+                iter158.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.sound_parts is not None:
-            oprot.writeFieldBegin('sound_parts', TType.LIST, 21)
+            oprot.writeFieldBegin('sound_parts', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.sound_parts))
-            for iter88 in self.sound_parts:
-                iter88.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.limits is not None:
-            oprot.writeFieldBegin('limits', TType.LIST, 22)
-            oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter89 in self.limits:
-                iter89.write(oprot)
+            for iter159 in self.sound_parts:
+                iter159.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
-        if self.leaving_endpoints is not None:
-            oprot.writeFieldBegin('leaving_endpoints', TType.LIST, 23)
-            oprot.writeListBegin(TType.STRUCT, len(self.leaving_endpoints))
-            for iter90 in self.leaving_endpoints:
-                iter90.write(oprot)
+        if self.verdicts is not None:
+            oprot.writeFieldBegin('verdicts', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.verdicts))
+            for iter160 in self.verdicts:
+                iter160.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1502,32 +2027,65 @@
         return not (self == other)
 
 
-class LoadChange(object):
+class Gossip(object):
     """
     Attributes:
-     - node
-     - incarnation
-     - sequence
+     - process
+     - orders_version
+     - endpoints_version
+     - orders_confirmed_ms_ago
+     - endpoints_confirmed_ms_ago
+     - reaches_all
      - loads
      - limits
+     - news
+     - states
+     - snapshots
+     - beats
+     - digests
+     - wanted_states
+     - wanted_loads
+     - wants_all_states
 
     """
 
     __slots__ = (
-        'node',
-        'incarnation',
-        'sequence',
+        'process',
+        'orders_version',
+        'endpoints_version',
+        'orders_confirmed_ms_ago',
+        'endpoints_confirmed_ms_ago',
+        'reaches_all',
         'loads',
         'limits',
+        'news',
+        'states',
+        'snapshots',
+        'beats',
+        'digests',
+        'wanted_states',
+        'wanted_loads',
+        'wants_all_states',
     )
 
 
-    def __init__(self, node=None, incarnation=None, sequence=None, loads=None, limits=None,):
-        self.node = node
-        self.incarnation = incarnation
-        self.sequence = sequence
+    def __init__(self, process=None, orders_version=None, endpoints_version=None, orders_confirmed_ms_ago=None, endpoints_confirmed_ms_ago=None, reaches_all=None, loads=None, limits=None, news=None, states=None, snapshots=None, beats=None, digests=None, wanted_states=None, wanted_loads=None, wants_all_states=None,):
+        self.process = process
+        self.orders_version = orders_version
+        self.endpoints_version = endpoints_version
+        self.orders_confirmed_ms_ago = orders_confirmed_ms_ago
+        self.endpoints_confirmed_ms_ago = endpoints_confirmed_ms_ago
+        self.reaches_all = reaches_all
         self.loads = loads
         self.limits = limits
+        self.news = news
+        self.states = states
+        self.snapshots = snapshots
+        self.beats = beats
+        self.digests = digests
+        self.wanted_states = wanted_states
+        self.wanted_loads = wanted_loads
+        self.wants_all_states = wants_all_states
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1539,42 +2097,117 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.node = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.process = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I64:
-                    self.incarnation = iprot.readI64()
+                    self.orders_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
-                    self.sequence = iprot.readI64()
+                    self.endpoints_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.LIST:
-                    self.loads = []
-                    (_etype94, _size91) = iprot.readListBegin()
-                    for _i95 in range(_size91):
-                        _elem96 = EndpointLoad()
-                        _elem96.read(iprot)
-                        self.loads.append(_elem96)
-                    iprot.readListEnd()
+                if ftype == TType.I32:
+                    self.orders_confirmed_ms_ago = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
+                if ftype == TType.I32:
+                    self.endpoints_confirmed_ms_ago = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.reaches_all = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.loads = LoadUpdates()
+                    self.loads.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
                 if ftype == TType.LIST:
                     self.limits = []
-                    (_etype100, _size97) = iprot.readListBegin()
-                    for _i101 in range(_size97):
-                        _elem102 = EndpointLimit()
-                        _elem102.read(iprot)
-                        self.limits.append(_elem102)
+                    (_etype164, _size161) = iprot.readListBegin()
+                    for _i165 in range(_size161):
+                        _elem166 = LimitUpdate()
+                        _elem166.read(iprot)
+                        self.limits.append(_elem166)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.news = News()
+                    self.news.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.states = []
+                    (_etype170, _size167) = iprot.readListBegin()
+                    for _i171 in range(_size167):
+                        _elem172 = MemberState()
+                        _elem172.read(iprot)
+                        self.states.append(_elem172)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.LIST:
+                    self.snapshots = []
+                    (_etype176, _size173) = iprot.readListBegin()
+                    for _i177 in range(_size173):
+                        _elem178 = LoadSnapshot()
+                        _elem178.read(iprot)
+                        self.snapshots.append(_elem178)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.beats = Beats()
+                    self.beats.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRUCT:
+                    self.digests = Digests()
+                    self.digests.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.wanted_states = []
+                    (_etype182, _size179) = iprot.readListBegin()
+                    for _i183 in range(_size179):
+                        _elem184 = iprot.readI32()
+                        self.wanted_states.append(_elem184)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.LIST:
+                    self.wanted_loads = []
+                    (_etype188, _size185) = iprot.readListBegin()
+                    for _i189 in range(_size185):
+                        _elem190 = iprot.readI32()
+                        self.wanted_loads.append(_elem190)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.BOOL:
+                    self.wants_all_states = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1584,33 +2217,86 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('LoadChange')
-        if self.node is not None:
-            oprot.writeFieldBegin('node', TType.STRING, 1)
-            oprot.writeString(self.node.encode('utf-8') if sys.version_info[0] == 2 else self.node)
+        oprot.writeStructBegin('Gossip')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.I32, 1)
+            oprot.writeI32(self.process)
             oprot.writeFieldEnd()
-        if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.I64, 2)
-            oprot.writeI64(self.incarnation)
+        if self.orders_version is not None:
+            oprot.writeFieldBegin('orders_version', TType.I64, 2)
+            oprot.writeI64(self.orders_version)
+            oprot.writeFieldEnd()
+        if self.endpoints_version is not None:
+            oprot.writeFieldBegin('endpoints_version', TType.I64, 3)
+            oprot.writeI64(self.endpoints_version)
             oprot.writeFieldEnd()
-        if self.sequence is not None:
-            oprot.writeFieldBegin('sequence', TType.I64, 3)
-            oprot.writeI64(self.sequence)
+        if self.orders_confirmed_ms_ago is not None:
+            oprot.writeFieldBegin('orders_confirmed_ms_ago', TType.I32, 4)
+            oprot.writeI32(self.orders_confirmed_ms_ago)
+            oprot.writeFieldEnd()
+        if self.endpoints_confirmed_ms_ago is not None:
+            oprot.writeFieldBegin('endpoints_confirmed_ms_ago', TType.I32, 5)
+            oprot.writeI32(self.endpoints_confirmed_ms_ago)
+            oprot.writeFieldEnd()
+        if self.reaches_all is not None:
+            oprot.writeFieldBegin('reaches_all', TType.BOOL, 6)
+            oprot.writeBool(self.reaches_all)
             oprot.writeFieldEnd()
         if self.loads is not None:
-            oprot.writeFieldBegin('loads', TType.LIST, 4)
-            oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter103 in self.loads:
-                iter103.write(oprot)
-            oprot.writeListEnd()
+            oprot.writeFieldBegin('loads', TType.STRUCT, 7)
+            self.loads.write(oprot)
             oprot.writeFieldEnd()
         if self.limits is not None:
-            oprot.writeFieldBegin('limits', TType.LIST, 5)
+            oprot.writeFieldBegin('limits', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.limits))
-            for iter104 in self.limits:
-                iter104.write(oprot)
+            for iter191 in self.limits:
+                iter191.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRUCT, 9)
+            self.news.write(oprot)
+            oprot.writeFieldEnd()
+        if self.states is not None:
+            oprot.writeFieldBegin('states', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.states))
+            for iter192 in self.states:
+                iter192.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.snapshots is not None:
+            oprot.writeFieldBegin('snapshots', TType.LIST, 11)
+            oprot.writeListBegin(TType.STRUCT, len(self.snapshots))
+            for iter193 in self.snapshots:
+                iter193.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.beats is not None:
+            oprot.writeFieldBegin('beats', TType.STRUCT, 12)
+            self.beats.write(oprot)
+            oprot.writeFieldEnd()
+        if self.digests is not None:
+            oprot.writeFieldBegin('digests', TType.STRUCT, 13)
+            self.digests.write(oprot)
+            oprot.writeFieldEnd()
+        if self.wanted_states is not None:
+            oprot.writeFieldBegin('wanted_states', TType.LIST, 14)
+            oprot.writeListBegin(TType.I32, len(self.wanted_states))
+            for iter194 in self.wanted_states:
+                oprot.writeI32(iter194)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.wanted_loads is not None:
+            oprot.writeFieldBegin('wanted_loads', TType.LIST, 15)
+            oprot.writeListBegin(TType.I32, len(self.wanted_loads))
+            for iter195 in self.wanted_loads:
+                oprot.writeI32(iter195)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.wants_all_states is not None:
+            oprot.writeFieldBegin('wants_all_states', TType.BOOL, 16)
+            oprot.writeBool(self.wants_all_states)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1789,11 +2475,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.rows = []
-                    (_etype108, _size105) = iprot.readListBegin()
-                    for _i109 in range(_size105):
-                        _elem110 = Row()
-                        _elem110.read(iprot)
-                        self.rows.append(_elem110)
+                    (_etype199, _size196) = iprot.readListBegin()
+                    for _i200 in range(_size196):
+                        _elem201 = Row()
+                        _elem201.read(iprot)
+                        self.rows.append(_elem201)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1828,8 +2514,8 @@
         if self.rows is not None:
             oprot.writeFieldBegin('rows', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.rows))
-            for iter111 in self.rows:
-                iter111.write(oprot)
+            for iter202 in self.rows:
+                iter202.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.confirmed_ms_ago is not None:
@@ -1895,11 +2581,11 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.known_versions = {}
-                    (_ktype113, _vtype114, _size112) = iprot.readMapBegin()
-                    for _i116 in range(_size112):
-                        _key117 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val118 = iprot.readI64()
-                        self.known_versions[_key117] = _val118
+                    (_ktype204, _vtype205, _size203) = iprot.readMapBegin()
+                    for _i207 in range(_size203):
+                        _key208 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val209 = iprot.readI64()
+                        self.known_versions[_key208] = _val209
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1921,9 +2607,9 @@
         if self.known_versions is not None:
             oprot.writeFieldBegin('known_versions', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.known_versions))
-            for kiter119, viter120 in self.known_versions.items():
-                oprot.writeString(kiter119.encode('utf-8') if sys.version_info[0] == 2 else kiter119)
-                oprot.writeI64(viter120)
+            for kiter210, viter211 in self.known_versions.items():
+                oprot.writeString(kiter210.encode('utf-8') if sys.version_info[0] == 2 else kiter210)
+                oprot.writeI64(viter211)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.accepts_compression is not None:
@@ -1985,11 +2671,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype124, _size121) = iprot.readListBegin()
-                    for _i125 in range(_size121):
-                        _elem126 = Table()
-                        _elem126.read(iprot)
-                        self.tables.append(_elem126)
+                    (_etype215, _size212) = iprot.readListBegin()
+                    for _i216 in range(_size212):
+                        _elem217 = Table()
+                        _elem217.read(iprot)
+                        self.tables.append(_elem217)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2011,8 +2697,8 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter127 in self.tables:
-                iter127.write(oprot)
+            for iter218 in self.tables:
+                iter218.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_busy is not None:
@@ -2060,6 +2746,32 @@
     (4, TType.I64, 'sent_count', None, None, ),  # 4
     (5, TType.I32, 'recent_count', None, None, ),  # 5
 )
+all_structs.append(LimitUpdate)
+LimitUpdate.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'process', None, None, ),  # 1
+    (2, TType.I32, 'number', None, None, ),  # 2
+    (3, TType.STRUCT, 'limit', [EndpointLimit, None], None, ),  # 3
+)
+all_structs.append(LoadUpdates)
+LoadUpdates.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'processes', (TType.I32, None, False), None, ),  # 1
+    (2, TType.LIST, 'numbers', (TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'endpoint_ids', (TType.STRING, 'UTF8', False), None, ),  # 3
+    (4, TType.LIST, 'runs', (TType.I32, None, False), None, ),  # 4
+    (5, TType.LIST, 'tokens', (TType.I32, None, False), None, ),  # 5
+    (6, TType.LIST, 'prefill_tokens', (TType.I32, None, False), None, ),  # 6
+    (7, TType.LIST, 'unsaved_runs', (TType.I32, None, False), None, ),  # 7
+)
+all_structs.append(LoadSnapshot)
+LoadSnapshot.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'process', None, None, ),  # 1
+    (2, TType.I32, 'number', None, None, ),  # 2
+    (3, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 3
+    (4, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 4
+)
 all_structs.append(LeavingEndpoint)
 LeavingEndpoint.thrift_spec = (
     None,  # 0
@@ -2110,10 +2822,7 @@
     (5, TType.I32, 'answers', None, None, ),  # 5
     (6, TType.I32, 'failures', None, None, ),  # 6
     (7, TType.DOUBLE, 'total_s', None, None, ),  # 7
-    (8, TType.I32, 'timed', None, None, ),  # 8
-    (9, TType.DOUBLE, 'log_total', None, None, ),  # 9
-    (10, TType.DOUBLE, 'log_square_total', None, None, ),  # 10
-    (11, TType.LIST, 'routes', (TType.STRUCT, [RouteDurations, None], False), None, ),  # 11
+    (8, TType.LIST, 'routes', (TType.STRUCT, [RouteDurations, None], False), None, ),  # 8
 )
 all_structs.append(Verdict)
 Verdict.thrift_spec = (
@@ -2122,41 +2831,62 @@
     (2, TType.I64, 'order_version', None, None, ),  # 2
     (3, TType.STRING, 'state', 'UTF8', None, ),  # 3
 )
-all_structs.append(Heartbeat)
-Heartbeat.thrift_spec = (
+all_structs.append(MemberState)
+MemberState.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
     (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (3, TType.I32, 'version', None, None, ),  # 3
     (4, TType.STRING, 'host', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'front', 'UTF8', None, ),  # 6
     (7, TType.BOOL, 'ready', None, None, ),  # 7
     (8, TType.BOOL, 'stopping', None, None, ),  # 8
-    (9, TType.I64, 'orders_version', None, None, ),  # 9
-    (10, TType.I64, 'endpoints_version', None, None, ),  # 10
-    (11, TType.I32, 'confirmed_ms_ago', None, None, ),  # 11
-    (12, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 12
-    (13, TType.LIST, 'leaving', (TType.STRING, 'UTF8', False), None, ),  # 13
-    (14, TType.LIST, 'crashes', (TType.STRUCT, [CrashMark, None], False), None, ),  # 14
-    (15, TType.LIST, 'versions', (TType.STRUCT, [VersionCount, None], False), None, ),  # 15
-    (16, TType.LIST, 'known_hosts', (TType.STRING, 'UTF8', False), None, ),  # 16
-    (17, TType.I32, 'endpoints_read_ms_ago', None, None, ),  # 17
-    (18, TType.LIST, 'verdicts', (TType.STRUCT, [Verdict, None], False), None, ),  # 18
-    (19, TType.LIST, 'doubtful', (TType.STRUCT, [EndpointHealth, None], False), None, ),  # 19
-    (20, TType.LIST, 'prompt_crashes', (TType.STRUCT, [PromptCrash, None], False), None, ),  # 20
-    (21, TType.LIST, 'sound_parts', (TType.STRUCT, [SoundPart, None], False), None, ),  # 21
-    (22, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 22
-    (23, TType.LIST, 'leaving_endpoints', (TType.STRUCT, [LeavingEndpoint, None], False), None, ),  # 23
+    (9, TType.BOOL, 'reads_store', None, None, ),  # 9
+    (10, TType.LIST, 'doubtful', (TType.STRUCT, [EndpointHealth, None], False), None, ),  # 10
+    (11, TType.LIST, 'versions', (TType.STRUCT, [VersionCount, None], False), None, ),  # 11
 )
-all_structs.append(LoadChange)
-LoadChange.thrift_spec = (
+all_structs.append(Beats)
+Beats.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'node', 'UTF8', None, ),  # 1
-    (2, TType.I64, 'incarnation', None, None, ),  # 2
-    (3, TType.I64, 'sequence', None, None, ),  # 3
-    (4, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 4
-    (5, TType.LIST, 'limits', (TType.STRUCT, [EndpointLimit, None], False), None, ),  # 5
+    (1, TType.LIST, 'processes', (TType.I32, None, False), None, ),  # 1
+    (2, TType.LIST, 'ages', (TType.I32, None, False), None, ),  # 2
+)
+all_structs.append(Digests)
+Digests.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'processes', (TType.I32, None, False), None, ),  # 1
+    (2, TType.LIST, 'state_versions', (TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'load_numbers', (TType.I32, None, False), None, ),  # 3
+)
+all_structs.append(News)
+News.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'leaving', (TType.STRUCT, [LeavingEndpoint, None], False), None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [CrashMark, None], False), None, ),  # 2
+    (3, TType.LIST, 'prompt_crashes', (TType.STRUCT, [PromptCrash, None], False), None, ),  # 3
+    (4, TType.LIST, 'sound_parts', (TType.STRUCT, [SoundPart, None], False), None, ),  # 4
+    (5, TType.LIST, 'verdicts', (TType.STRUCT, [Verdict, None], False), None, ),  # 5
+)
+all_structs.append(Gossip)
+Gossip.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'process', None, None, ),  # 1
+    (2, TType.I64, 'orders_version', None, None, ),  # 2
+    (3, TType.I64, 'endpoints_version', None, None, ),  # 3
+    (4, TType.I32, 'orders_confirmed_ms_ago', None, None, ),  # 4
+    (5, TType.I32, 'endpoints_confirmed_ms_ago', None, None, ),  # 5
+    (6, TType.BOOL, 'reaches_all', None, None, ),  # 6
+    (7, TType.STRUCT, 'loads', [LoadUpdates, None], None, ),  # 7
+    (8, TType.LIST, 'limits', (TType.STRUCT, [LimitUpdate, None], False), None, ),  # 8
+    (9, TType.STRUCT, 'news', [News, None], None, ),  # 9
+    (10, TType.LIST, 'states', (TType.STRUCT, [MemberState, None], False), None, ),  # 10
+    (11, TType.LIST, 'snapshots', (TType.STRUCT, [LoadSnapshot, None], False), None, ),  # 11
+    (12, TType.STRUCT, 'beats', [Beats, None], None, ),  # 12
+    (13, TType.STRUCT, 'digests', [Digests, None], None, ),  # 13
+    (14, TType.LIST, 'wanted_states', (TType.I32, None, False), None, ),  # 14
+    (15, TType.LIST, 'wanted_loads', (TType.I32, None, False), None, ),  # 15
+    (16, TType.BOOL, 'wants_all_states', None, None, ),  # 16
 )
 all_structs.append(Row)
 Row.thrift_spec = (
--- a/libs/cluster/src/dandelionlead/cluster/peer_transport.py
+++ b/libs/cluster/src/dandelionlead/cluster/peer_transport.py
@@ -1,16 +1,11 @@
-"""Exchanges heartbeats and loads over UDP and table copies over TCP with peers.
-
-Peers are the other gateway processes of the system. A heartbeat contains the
-whole state that a process publishes; a load change contains only the loads of
-those endpoints whose load changed. Datagrams may be lost or reordered: the
-receiver drops outdated datagrams by their sequence numbers, and the next
-heartbeat contains what a lost datagram contained. Tables are too large for a
-datagram, so a peer requests them over TCP.
+"""Exchanges gossip over UDP and table copies over TCP with other processes.
+
+Datagrams may be lost or reordered; `cluster.gossip` requests what is missing.
+Tables are too large for a datagram, so a process requests them over TCP.
 """
 
 from __future__ import annotations
 
-import abc
 import contextlib
 import random
 import socket
@@ -22,6 +17,7 @@
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
 
+from dandelionlead.cluster import gossip
 from dandelionlead.cluster import message_checks
 from dandelionlead.cluster import mirror
 from dandelionlead.cluster import roster
@@ -33,22 +29,24 @@
 from dandelionlead.core import guards
 from dandelionlead.http import listener
 
-# Shortest time between two sends to all peers if a change causes the second
-# one. It is also the pause after a socket error in a loop.
+# Time between two rounds.
+ROUND_INTERVAL_S = 0.3
+# Shortest time between two messages if a change causes the second one: with few
+# processes or for an urgent change, and otherwise. In the latter case many
+# changes of others arrive in between and are passed on together.
 MIN_SEND_PAUSE_S = 0.01
-# With many peers the time between two sends grows, so that changes cause at
-# most this many datagrams per second.
-_MAX_CHANGE_DATAGRAMS_PER_S = 3_000.0
+_MIN_BATCH_PAUSE_S = 0.08
+# Pause after a socket error in a loop.
+_ERROR_PAUSE_S = 0.01
+# If no round has begun for this time, the process was paused. The datagrams
+# that have arrived meanwhile are dropped, because their ages are not valid.
+_PAUSED_S = 1.0
+# Share of the rounds with a further message to a host that is not known yet.
+_UNKNOWN_HOST_SHARE = 0.25
 _MAX_DATAGRAM_BYTES = 60_000
 _MAX_FRAME_BYTES = 16_777_216
 # Time within which a peer must receive the copy that it requested.
 _SERVE_COPY_TIMEOUT_S = 2.0
-# Largest number of peer hosts that a heartbeat lists. The hosts are drawn at
-# random, so that successive heartbeats list different ones.
-_MAX_KNOWN_HOSTS = 4
-# First byte of a datagram: the type of the message that follows.
-_HEARTBEAT_TYPE = b"H"
-_LOAD_CHANGE_TYPE = b"L"
 # Prefix of each message on TCP: the length of the message in bytes.
 _LENGTH_PREFIX = struct.Struct("!I")
 
@@ -70,151 +68,124 @@
         self.total_timeout_s = total_timeout_s
 
 
-class PeerMessageHandler(abc.ABC):
-    """Builds the messages to peers and processes the messages from peers."""
-
-    @abc.abstractmethod
-    def build_heartbeat(self) -> ttypes.Heartbeat:
-        """Returns a heartbeat with the current state of this process."""
-
-    @abc.abstractmethod
-    def build_load_change(self, endpoint_ids: set[str]) -> ttypes.LoadChange:
-        """Returns the current loads of this process at the given endpoints."""
-
-    @abc.abstractmethod
-    def handle_heartbeat(self, heartbeat: ttypes.Heartbeat) -> None:
-        """Processes a heartbeat newer than its sender's previous messages."""
-
-    @abc.abstractmethod
-    def handle_load_change(self, change: ttypes.LoadChange) -> None:
-        """Processes a load change newer than its sender's previous messages."""
-
-
 class PeerTransport:
-    """Exchanges messages with peers over a UDP socket and TCP connections."""
+    """Exchanges messages over a UDP socket and TCP connections."""
 
     def __init__(
         self,
         address: tuple[str, int],
-        peer_roster: roster.Roster,
+        process_id: int,
+        members: roster.Roster,
         table_mirror: mirror.Mirror,
-        handler: PeerMessageHandler,
+        handler: gossip.StateHandler,
         log: events.Log,
         guard: guards.LoopGuard,
+        rng: random.Random,
     ) -> None:
         """Binds the UDP socket and the listening TCP socket.
 
         Args:
-            address: Host and port to listen on, for UDP and TCP. All peers
+            address: Host and port to listen on, for UDP and TCP. All processes
                 listen on the same port.
-            peer_roster: The peers and their hosts.
+            process_id: Id of this process.
+            members: The other processes.
             table_mirror: Mirror whose tables peers may copy.
-            handler: Builds the messages that are sent, and processes the
-                messages that are received.
+            handler: Provides and applies the state that is exchanged.
             log: Receives an event for each datagram that cannot be decoded
                 and for each copy request that cannot be served.
             guard: Keeps a message that fails in an unexpected way from ending
-                the exchange with other peers.
+                the exchange with other processes.
+            rng: Draws the processes that messages are sent to.
 
         Raises:
             OSError: If a socket cannot be bound.
         """
         self._address = address
-        self._peer_roster = peer_roster
+        self._members = members
         self._table_sender = table_sending.TableSender(table_mirror)
-        self._handler = handler
         self._log = log
         self._guard = guard
+        self._rng = rng
+        self.gossip = gossip.Gossip(
+            process_id, members, handler, rng, self._request_send
+        )
         self._udp_socket = green_socket.socket(
             socket.AF_INET, socket.SOCK_DGRAM
         )
         self._udp_socket.bind(address)
         self._tcp_socket = listener.open_listening_socket(address)
         self._scheduled_send: eventlet.greenthread.GreenThread | None = None
-        self._is_heartbeat_due = False
-        self._changed_endpoint_ids: set[str] = set()
+        self._scheduled_s = 0.0
         self._is_closed = False
         self._last_send_s = 0.0
-        self._last_heartbeat_s = 0.0
+        self._last_round_s = float("inf")
+        self.sent_bytes = 0
+        self.received_bytes = 0
 
     def loops(self) -> tuple[Callable[[], None], ...]:
         """Returns the endless loops to run, each in a green thread."""
         return (
             self._receive_datagrams,
             self._accept_connections,
-            self._send_periodically,
+            self._send_rounds,
         )
 
     def close(self) -> None:
-        """Closes the sockets; from then on nothing is sent to peers."""
+        """Closes the sockets; from then on nothing is sent."""
         self._is_closed = True
         self._udp_socket.close()
         self._tcp_socket.close()
 
-    def schedule_heartbeat(self) -> None:
-        """Schedules a heartbeat to all peers.
-
-        It is sent as soon as the minimum pause since the last send has passed.
-        """
-        self._is_heartbeat_due = True
-        self._schedule_send()
-
-    def schedule_load_change(self, endpoint_id: str) -> None:
-        """Schedules a message with the load of an endpoint to all peers.
-
-        It is sent as soon as the minimum pause since the last send has passed,
-        with the load that the endpoint has then.
-
-        Args:
-            endpoint_id: Endpoint whose load changed.
-        """
-        self._changed_endpoint_ids.add(endpoint_id)
-        self._schedule_send()
-
-    def _schedule_send(self) -> None:
-        """Schedules a send of all changes, unless one is scheduled already."""
+    def send_round(self) -> None:
+        """Sends the message of a round at once."""
+        now_s = clock.boottime()
+        self._last_round_s = now_s
+        message = self.gossip.build_round(now_s)
+        hosts = self._members.choose_hosts(self._rng, now_s)
+        if self._rng.random() < _UNKNOWN_HOST_SHARE or not hosts:
+            unknown_host = self._members.choose_unknown_host(self._rng, now_s)
+            hosts += [unknown_host] if unknown_host else []
+        self._send(message, hosts)
+
+    def _request_send(self, is_urgent: bool) -> None:
+        """Schedules a message, unless one is scheduled as early."""
+        pause_s = _MIN_BATCH_PAUSE_S
+        if is_urgent or self._members.is_direct():
+            pause_s = MIN_SEND_PAUSE_S
+        now_s = clock.boottime()
+        due_s = max(now_s, self._last_send_s + pause_s)
         if self._scheduled_send is not None:
-            return
-        peer_count = len(self._peer_roster.hosts())
-        pause_s = max(
-            MIN_SEND_PAUSE_S, peer_count / _MAX_CHANGE_DATAGRAMS_PER_S
-        )
-        wait_s = self._last_send_s + pause_s - clock.boottime()
+            if self._scheduled_s <= due_s:
+                return
+            self._scheduled_send.cancel()
+        self._scheduled_s = due_s
         self._scheduled_send = eventlet.spawn_after(
-            max(0.0, wait_s), self._send_changes
+            due_s - now_s, self._send_changes
         )
 
     def _send_changes(self) -> None:
-        """Sends a heartbeat if one was scheduled, otherwise a load change."""
+        """Sends what has changed to some processes."""
         self._scheduled_send = None
-        if self._is_heartbeat_due:
-            self.send_heartbeat()
-            return
-        change = self._handler.build_load_change(self._changed_endpoint_ids)
-        self._changed_endpoint_ids.clear()
-        self._send_to_all(_LOAD_CHANGE_TYPE + encode(change))
-
-    def send_heartbeat(self) -> None:
-        """Sends a heartbeat to all peers immediately.
-
-        The heartbeat also contains the loads that were scheduled to be sent.
-        """
-        self._is_heartbeat_due = False
-        self._changed_endpoint_ids.clear()
-        self._last_heartbeat_s = clock.boottime()
-        self._send_to_all(
-            _HEARTBEAT_TYPE + encode(self._handler.build_heartbeat())
-        )
-
-    def _send_to_all(self, datagram: bytes) -> None:
-        """Sends a datagram to each host of the roster."""
+        with self._guard.turn("send_changes"):
+            now_s = clock.boottime()
+            message = self.gossip.build_change(now_s)
+            if message is not None:
+                hosts = self._members.choose_hosts(self._rng, now_s)
+                self._send(message, hosts)
+            if self.gossip.has_changes():
+                self._request_send(False)
+
+    def _send(self, message: ttypes.Gossip, hosts: list[str]) -> None:
+        """Sends a message to each of some hosts."""
         if self._is_closed:
             return
         self._last_send_s = clock.boottime()
-        for host in self._peer_roster.hosts():
+        datagram = encode(message)
+        for host in hosts:
             with contextlib.suppress(OSError):
                 # A datagram that cannot be sent is treated as lost.
                 self._udp_socket.sendto(datagram, (host, self._address[1]))
+                self.sent_bytes += len(datagram)
 
     def request_tables(
         self, host: str, known_versions: dict[str, int], limits: CopyLimits
@@ -253,48 +224,51 @@
         finally:
             sock.close()
 
-    def _send_periodically(self) -> None:
-        """Sends heartbeats at the interval of the roster, without end.
+    def _send_rounds(self) -> None:
+        """Sends rounds at their interval, without end."""
+        while not self._is_closed:
+            if self._was_paused():
+                self._drop_waiting_datagrams()
+            with self._guard.turn("send_round"):
+                self.send_round()
+            eventlet.sleep(ROUND_INTERVAL_S * self._rng.uniform(0.9, 1.1))
+
+    def _was_paused(self) -> bool:
+        return clock.boottime() - self._last_round_s > _PAUSED_S
 
-        A periodic heartbeat is left out if a change caused another heartbeat
-        less than 80 % of the interval ago.
-        """
-        while True:
-            interval_s = self._peer_roster.heartbeat_interval_s()
-            if clock.boottime() - self._last_heartbeat_s >= 0.8 * interval_s:
-                self.send_heartbeat()
-            eventlet.sleep(interval_s)
+    def _drop_waiting_datagrams(self) -> None:
+        """Reads and drops the datagrams that have arrived."""
+        with contextlib.suppress(OSError):
+            while True:
+                self._udp_socket.fd.recv(1, socket.MSG_DONTWAIT)
 
     def _receive_datagrams(self) -> None:
         """Receives and processes datagrams without end."""
         while not self._is_closed:
             try:
-                datagram, _ = self._udp_socket.recvfrom(_MAX_DATAGRAM_BYTES)
+                datagram, address = self._udp_socket.recvfrom(
+                    _MAX_DATAGRAM_BYTES
+                )
             except (OSError, EOFError):
-                eventlet.sleep(MIN_SEND_PAUSE_S)
+                eventlet.sleep(_ERROR_PAUSE_S)
+                continue
+            if self._was_paused():
+                self._drop_waiting_datagrams()
+                self._last_round_s = clock.boottime()
                 continue
             with self._guard.turn("datagram"):
-                self._receive_datagram(datagram)
+                self._process_datagram(datagram, address[0])
 
-    def _receive_datagram(self, datagram: bytes) -> None:
+    def _process_datagram(self, datagram: bytes, host: str) -> None:
         """Processes a datagram; logs one that cannot be decoded."""
+        self.received_bytes += len(datagram)
         try:
-            self._process_datagram(datagram)
+            message = decode(ttypes.Gossip(), datagram)
         except message_checks.PeerMessageError as exc:
-            self._log.event("heartbeat_unreadable", reason=repr(exc))
-
-    def _process_datagram(self, datagram: bytes) -> None:
-        """Decodes a datagram and passes it to the handler if it is new."""
-        message_type, body = datagram[:1], datagram[1:]
-        now_s = clock.boottime()
-        if message_type == _HEARTBEAT_TYPE:
-            heartbeat = decode(ttypes.Heartbeat(), body)
-            if self._peer_roster.accept_heartbeat(heartbeat, now_s):
-                self._handler.handle_heartbeat(heartbeat)
-        elif message_type == _LOAD_CHANGE_TYPE:
-            change = decode(ttypes.LoadChange(), body)
-            if self._peer_roster.accept_load_change(change):
-                self._handler.handle_load_change(change)
+            self._log.event("datagram_unreadable", host=host, reason=str(exc))
+            return
+        for reply in self.gossip.handle(message, host, clock.boottime()):
+            self._send(reply, [host])
 
     def _accept_connections(self) -> None:
         """Accepts connections of peers and serves each in a green thread."""
@@ -302,7 +276,7 @@
             try:
                 sock, _ = self._tcp_socket.accept()
             except OSError:
-                eventlet.sleep(MIN_SEND_PAUSE_S)
+                eventlet.sleep(_ERROR_PAUSE_S)
                 continue
             eventlet.spawn_n(self._serve_copy_request, sock)
 
@@ -324,12 +298,6 @@
             sock.close()
 
 
-def sample_hosts(peer_roster: roster.Roster) -> list[str]:
-    """Returns a random sample of peer hosts to list in a heartbeat."""
-    hosts = peer_roster.hosts()
-    return random.sample(hosts, min(_MAX_KNOWN_HOSTS, len(hosts)))
-
-
 def encode(message: object) -> bytes:
     """Encodes a thrift message in the compact protocol."""
     buffer = TTransport.TMemoryBuffer()
--- a/libs/cluster/src/dandelionlead/cluster/roster.py
+++ b/libs/cluster/src/dandelionlead/cluster/roster.py
@@ -1,214 +1,291 @@
-"""Keeps the last heartbeat of each peer and derives which peers are live.
+"""Keeps what is known of each process, and derives which ones are live.
 
-A peer is live while its last heartbeat is not older than the peer timeout. The
-roster also collects the hosts that this process sends its own heartbeats to.
+A process counts its beats by sending messages. Every message passes on how long
+ago the beats of other processes were, so that a process need not hear each of
+the others itself. A process is live while its last known beat is recent.
 """
 
 from __future__ import annotations
 
+import random
+import zlib
 from collections.abc import Iterable
 
 from dandelionlead.cluster.gen import ttypes
 
-# Shortest interval between two periodic heartbeats.
-MIN_HEARTBEAT_INTERVAL_S = 0.5
-# With many peers the interval grows, so that a process sends at most this many
-# periodic heartbeats per second to all peers together.
-_MAX_PERIODIC_HEARTBEATS_PER_S = 100.0
-# Shortest time without a heartbeat after which a peer is no longer live.
-# Callers are not given the address of a peer that is not live.
-_MIN_PEER_TIMEOUT_S = 2.5
-# A peer stays live until it has missed this many heartbeats, even if that takes
-# longer than `_MIN_PEER_TIMEOUT_S`, as it does with many peers.
-_MAX_MISSED_HEARTBEATS = 3.0
-# A peer without a heartbeat for longer than this gets no share of the limits
-# that are divided among all processes. The time is longer than the shortest
-# peer timeout, because a peer that is only disconnected from this process still
-# uses its share.
+# With at most this many peers, a process sends its messages to all of them, so
+# that nothing needs to be passed on.
+MAX_DIRECT_PEERS = 9
+# Number of peers that a message is sent to if there are more.
+FANOUT = 3
+# Age of the last beat above which a process is no longer live, for a process
+# with direct peers only, and for one to which beats are passed on. A beat takes
+# the longer to reach all processes, the more there are above some number.
+DIRECT_TIMEOUT_S = 2.5
+INDIRECT_TIMEOUT_S = 4.5
+_MEMBERS_IN_TIME = 200
+_TIMEOUT_PER_MEMBER_S = 0.012
+# A process without a beat for longer than this gets no share of the limits that
+# are divided among all processes. The time is longer than those above, because
+# a process that is only disconnected from this one still uses its share.
 MEMBER_TIMEOUT_S = 30.0
+# A new process of a node replaces one that is older by its incarnation, or
+# whose last beat is older than this: the time of day may have been set back.
+_REPLACED_AGE_S = 1.0
+# Time for which the list of live processes is kept.
+_LIVE_CACHE_S = 0.1
 
 
-class Peer:
-    """State of one peer according to its last messages.
+def compute_process_id(node: str, incarnation: int) -> int:
+    """Returns the id of one start of a process.
+
+    The id has 27 bits, which the messages encode in four bytes. Two of 400
+    processes have the same id with a probability of 0.0006.
+    """
+    return zlib.crc32(f"{node}/{incarnation}".encode()) & 0x7FFFFFF
+
+
+class Member:
+    """One process other than this one.
 
     Attributes:
-        heartbeat_received_s: Arrival time of its last heartbeat, in seconds of
-            `clock.boottime`.
-        heartbeat: Its last heartbeat.
-        last_sequence: Sequence number of its last message, which may be a load
-            change that is newer than the heartbeat.
+        process_id: Id of this start of the process.
+        state: What the process says of itself, in its newest known version.
+        beat_s: Time of its last known beat, in seconds of `clock.boottime`;
+            minus infinity if none is known.
+        known_since_s: Time at which its first state arrived, in seconds.
     """
 
-    __slots__ = ("heartbeat_received_s", "heartbeat", "last_sequence")
+    __slots__ = ("process_id", "state", "beat_s", "known_since_s")
 
     def __init__(
-        self, heartbeat_received_s: float, heartbeat: ttypes.Heartbeat
+        self,
+        process_id: int,
+        state: ttypes.MemberState,
+        beat_s: float,
+        known_since_s: float,
     ) -> None:
-        self.heartbeat_received_s = heartbeat_received_s
-        self.heartbeat = heartbeat
-        self.last_sequence = heartbeat.sequence
+        self.process_id = process_id
+        self.state = state
+        self.beat_s = beat_s
+        self.known_since_s = known_since_s
 
 
 class Roster:
-    """Peers by name, and the hosts that heartbeats are sent to.
+    """Processes by id, and the hosts of processes that are not known yet.
 
     Args:
-        own_name: Node name of this process; heartbeats with this name are
-            ignored.
-        own_host: Host of this process; no heartbeats are sent to it.
+        own_name: Node name of this process.
+        own_host: Host of this process.
+        own_zone: Availability zone of this process.
     """
 
-    def __init__(self, own_name: str, own_host: str) -> None:
+    def __init__(self, own_name: str, own_host: str, own_zone: str) -> None:
         self._own_name = own_name
         self._own_host = own_host
-        self._peers: dict[str, Peer] = {}
+        self._own_zone = own_zone
+        self._members: dict[int, Member] = {}
+        self._ids_by_node: dict[str, int] = {}
+        # Last known beats of processes without a known state, by id.
+        self._other_beats_s: dict[int, float] = {}
         # Used as an ordered set: the keys are the hosts.
-        self._hosts: dict[str, None] = {}
+        self._listed_hosts: dict[str, None] = {}
+        self._live: list[Member] = []
+        self._live_until_s = float("-inf")
 
-    def accept_heartbeat(
-        self, heartbeat: ttypes.Heartbeat, now_s: float
-    ) -> bool:
-        """Stores a heartbeat, its sender's host and the hosts that it lists.
+    def get(self, process_id: int) -> Member | None:
+        """Returns a process; None if its state is not known."""
+        return self._members.get(process_id)
 
-        Args:
-            heartbeat: The received heartbeat.
-            now_s: Arrival time in seconds of `clock.boottime`.
+    def list_members(self) -> list[Member]:
+        """Returns all processes, live or not."""
+        return list(self._members.values())
 
-        Returns:
-            Whether the heartbeat was stored; False if this process sent it, or
-            if it is not newer than the last message of its sender.
-        """
-        if heartbeat.node == self._own_name:
-            return False
-        peer = self._peers.get(heartbeat.node)
-        if peer is not None:
-            order = (heartbeat.incarnation, heartbeat.sequence)
-            if order <= (peer.heartbeat.incarnation, peer.last_sequence):
-                return False
-        self._peers[heartbeat.node] = Peer(now_s, heartbeat)
-        self.add_hosts([heartbeat.host, *heartbeat.known_hosts])
-        return True
-
-    def accept_load_change(self, change: ttypes.LoadChange) -> bool:
-        """Stores the sequence number of a load change if the change is new.
+    def accept_state(
+        self, state: ttypes.MemberState, now_s: float
+    ) -> tuple[Member | None, Member | None]:
+        """Stores what a process says of itself, unless it is outdated.
+
+        Args:
+            state: The state.
+            now_s: Current time in seconds of `clock.boottime`. The state may
+                have been passed on, so it does not show that the process is
+                live.
 
         Returns:
-            Whether the change is new; False if its sender has sent no heartbeat
-            yet, if it belongs to another incarnation of the sender, or if it is
-            not newer than the sender's last message.
+            The process whose state is new, or None; and the process that it
+            replaces, an earlier start on the same node, or None.
         """
-        peer = self._peers.get(change.node)
-        if peer is None or change.sequence <= peer.last_sequence:
-            return False
-        if change.incarnation != peer.heartbeat.incarnation:
-            return False
-        peer.last_sequence = change.sequence
-        return True
+        if state.node == self._own_name:
+            return None, None
+        process_id = compute_process_id(state.node, state.incarnation)
+        member = self._members.get(process_id)
+        if member is not None:
+            if state.version <= member.state.version:
+                return None, None
+            member.state = state
+            return member, None
+        replaced = self._members.get(self._ids_by_node.get(state.node, 0))
+        if replaced is not None and not (
+            state.incarnation > replaced.state.incarnation
+            or now_s - replaced.beat_s > _REPLACED_AGE_S
+        ):
+            return None, None
+        if replaced is not None:
+            self._remove(replaced)
+        beat_s = self._other_beats_s.pop(process_id, float("-inf"))
+        member = Member(process_id, state, beat_s, now_s)
+        self._members[process_id] = member
+        self._ids_by_node[state.node] = process_id
+        self._live_until_s = float("-inf")
+        return member, replaced
+
+    def note_beat(self, process_id: int, beat_s: float) -> None:
+        """Records when a process was alive."""
+        member = self._members.get(process_id)
+        if member is not None:
+            member.beat_s = max(member.beat_s, beat_s)
+        elif beat_s > self._other_beats_s.get(process_id, float("-inf")):
+            self._other_beats_s[process_id] = beat_s
+
+    def remove_silent(self, now_s: float) -> list[Member]:
+        """Removes and returns the processes that are silent for long."""
+        silent = [
+            member
+            for member in self._members.values()
+            if now_s - max(member.beat_s, member.known_since_s)
+            > MEMBER_TIMEOUT_S
+        ]
+        for member in silent:
+            self._remove(member)
+        self._other_beats_s = {
+            process_id: beat_s
+            for process_id, beat_s in self._other_beats_s.items()
+            if now_s - beat_s <= INDIRECT_TIMEOUT_S
+        }
+        return silent
+
+    def _remove(self, member: Member) -> None:
+        del self._members[member.process_id]
+        del self._ids_by_node[member.state.node]
+        self._live_until_s = float("-inf")
 
     def add_hosts(self, hosts: Iterable[str]) -> None:
-        """Adds hosts that heartbeats are sent to.
+        """Adds hosts from the list of instances.
 
         Empty strings and the host of this process are left out.
         """
         for host in hosts:
             if host and host != self._own_host:
-                self._hosts.setdefault(host, None)
+                self._listed_hosts.setdefault(host, None)
 
-    def hosts(self) -> list[str]:
-        """Returns all hosts that heartbeats are sent to."""
-        return list(self._hosts)
+    def count_listed_hosts(self) -> int:
+        """Returns the number of other hosts in the list of instances."""
+        return len(self._listed_hosts)
+
+    def is_direct(self) -> bool:
+        """Returns whether messages go to all processes without being passed on.
+
+        All processes decide alike as long as they know the same ones.
+        """
+        return len(self._members) <= MAX_DIRECT_PEERS
 
-    def heartbeat_interval_s(self) -> float:
-        """Returns the interval between periodic heartbeats in seconds."""
-        return max(
-            MIN_HEARTBEAT_INTERVAL_S,
-            len(self._hosts) / _MAX_PERIODIC_HEARTBEATS_PER_S,
-        )
+    def timeout_s(self) -> float:
+        """Returns the age of the last beat up to which a process is live."""
+        if self.is_direct():
+            return DIRECT_TIMEOUT_S
+        further_count = max(0, len(self._members) - _MEMBERS_IN_TIME)
+        return INDIRECT_TIMEOUT_S + _TIMEOUT_PER_MEMBER_S * further_count
 
-    def peer_timeout_s(self) -> float:
-        """Returns the peer timeout in seconds.
+    def choose_hosts(self, rng: random.Random, now_s: float) -> list[str]:
+        """Returns the hosts that the next message is sent to.
 
-        A peer is live until its last heartbeat is older than this.
+        These are all live processes if there are few. Otherwise one in the own
+        availability zone is drawn, which costs less, and others anywhere.
         """
-        return max(
-            _MIN_PEER_TIMEOUT_S,
-            _MAX_MISSED_HEARTBEATS * self.heartbeat_interval_s(),
-        )
-
-    def live_peers(self, now_s: float) -> list[Peer]:
-        """Returns the peers that are live at a time of `clock.boottime`."""
-        timeout_s = self.peer_timeout_s()
-        return [
-            peer
-            for peer in self._peers.values()
-            if now_s - peer.heartbeat_received_s <= timeout_s
+        live = self.live_members(now_s)
+        if not live:
+            hosts = list(self._listed_hosts)
+            return rng.sample(hosts, min(len(hosts), FANOUT))
+        if self.is_direct():
+            return [member.state.host for member in live]
+        nearby = [
+            member.state.host
+            for member in live
+            if member.state.availability_zone == self._own_zone
+        ]
+        hosts = [rng.choice(nearby)] if nearby else []
+        while len(hosts) < min(FANOUT, len(live)):
+            host = rng.choice(live).state.host
+            if host not in hosts:
+                hosts.append(host)
+        return hosts
+
+    def choose_unknown_host(
+        self, rng: random.Random, now_s: float
+    ) -> str | None:
+        """Returns a listed host without a live process; None if there is none.
+
+        Messages to such hosts find processes that have started, and join the
+        parts of a cluster that was divided.
+        """
+        live_hosts = {member.state.host for member in self.live_members(now_s)}
+        unknown = [
+            host for host in self._listed_hosts if host not in live_hosts
         ]
+        return rng.choice(unknown) if unknown else None
+
+    def live_members(self, now_s: float) -> list[Member]:
+        """Returns the processes that are live at a time of `clock.boottime`."""
+        if not self._live_until_s - _LIVE_CACHE_S <= now_s < self._live_until_s:
+            timeout_s = self.timeout_s()
+            self._live = [
+                member
+                for member in self._members.values()
+                if now_s - member.beat_s <= timeout_s
+            ]
+            self._live_until_s = now_s + _LIVE_CACHE_S
+        return self._live
+
+    def is_live(self, member: Member, now_s: float) -> bool:
+        """Returns whether a process is live."""
+        return now_s - member.beat_s <= self.timeout_s()
 
     def member_names(self, now_s: float) -> list[str]:
         """Returns the names of the processes that limits are divided among.
 
         The first name is that of this process; the others are those of the
-        peers whose last heartbeat is not older than `MEMBER_TIMEOUT_S`.
+        processes whose last beat is not older than `MEMBER_TIMEOUT_S`.
 
         Args:
             now_s: Current time in seconds of `clock.boottime`.
         """
         names = [
-            name
-            for name, peer in self._peers.items()
-            if now_s - peer.heartbeat_received_s <= MEMBER_TIMEOUT_S
+            member.state.node
+            for member in self._members.values()
+            if now_s - member.beat_s <= MEMBER_TIMEOUT_S
         ]
         return [self._own_name, *names]
 
     def ready_addresses(self, now_s: float) -> list[str]:
-        """Returns the addresses (IP:PORT) at which live peers accept calls.
+        """Returns the addresses (IP:PORT) at which live processes accept calls.
 
-        Peers that are not ready or that are stopping are left out.
+        Processes that are not ready or that are stopping are left out.
         """
         return [
-            peer.heartbeat.front
-            for peer in self.live_peers(now_s)
-            if peer.heartbeat.ready and not peer.heartbeat.stopping
+            member.state.front
+            for member in self.live_members(now_s)
+            if member.state.ready and not member.state.stopping
         ]
 
-    def peers_with_newest_orders(self, now_s: float) -> list[Peer]:
-        """Returns the live peers whose orders table has the newest version.
+    def live_names(self, now_s: float) -> list[str]:
+        """Returns the names of the live processes."""
+        return [member.state.node for member in self.live_members(now_s)]
 
-        Processes that copy tables should draw one of them at random. If all
-        processes chose the same peer, its link would become the bottleneck.
-        """
-        peers = self.live_peers(now_s)
-        newest = max(
-            (peer.heartbeat.orders_version for peer in peers), default=-1
-        )
+    def reader_names(self, now_s: float) -> list[str]:
+        """Returns the names of the live processes that can read the store."""
         return [
-            peer for peer in peers if peer.heartbeat.orders_version == newest
+            member.state.node
+            for member in self.live_members(now_s)
+            if member.state.reads_store
         ]
-
-    def latest_confirmation_s(self, now_s: float, orders_version: int) -> float:
-        """Returns when peers last confirmed the orders table of this process.
-
-        If the store confirmed to a peer that the peer's orders table was
-        current, and that table is not newer than the one of this process, then
-        the table of this process contains all changes up to that time as well.
-        The result is the latest such time of all live peers.
-
-        Args:
-            now_s: Current time in seconds of `clock.boottime`.
-            orders_version: Version of the orders table of this process.
-
-        Returns:
-            Time in seconds of `clock.boottime`; minus infinity if there is no
-            such confirmation.
-        """
-        latest_s = float("-inf")
-        for peer in self.live_peers(now_s):
-            heartbeat = peer.heartbeat
-            if heartbeat.confirmed_ms_ago < 0:
-                continue
-            if heartbeat.orders_version <= orders_version:
-                confirmed_s = (
-                    peer.heartbeat_received_s - heartbeat.confirmed_ms_ago / 1e3
-                )
-                latest_s = max(latest_s, confirmed_s)
-        return latest_s
--- a/libs/cluster/src/dandelionlead/cluster/table_copier.py
+++ b/libs/cluster/src/dandelionlead/cluster/table_copier.py
@@ -17,9 +17,6 @@
 # Shortest time between the starts of two copies if the second one is started
 # because a peer's heartbeat lists a newer version.
 MIN_UPDATE_PAUSE_S = 0.15
-# Shortest time between the starts of two copies while this process cannot read
-# the store itself.
-STORE_OUTAGE_PAUSE_S = 0.7
 # Largest value of a row, which a compressed value must not exceed.
 _MAX_VALUE_BYTES = 8_388_608
 # A second copy at the same time, from another peer, covers for a peer that has
--- /dev/null
+++ b/libs/cluster/tests/gossip_handler.py
@@ -0,0 +1,90 @@
+"""State of a process in tests of gossip: loads, news and table versions."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+
+from dandelionlead.cluster import gossip
+from dandelionlead.cluster.gen import ttypes
+
+
+class RecordingHandler(gossip.StateHandler):
+    """State of one process, and what it has heard of the others.
+
+    Attributes:
+        own_loads: Runs of this process by endpoint id.
+        loads: Runs of other processes, by node and endpoint id.
+        news: Times in seconds at which news arrived, by name.
+        tables: Versions of the tables of this process.
+        newer_hosts: Hosts whose tables were newer, in order of arrival.
+    """
+
+    def __init__(self, name: str, host: str, zone: str) -> None:
+        self.name, self.host, self.zone = name, host, zone
+        self.is_ready = True
+        self.own_loads: dict[str, int] = {}
+        self.loads: dict[str, dict[str, int]] = {}
+        self.news: dict[str, float] = {}
+        self.tables = gossip.TableVersions(1, 1, 0.0, 0.0)
+        self.newer_hosts: list[str] = []
+
+    def build_state(self, version, now_s):
+        return ttypes.MemberState(
+            self.name,
+            1,
+            version,
+            self.host,
+            self.zone,
+            f"{self.host}:80",
+            self.is_ready,
+            False,
+            True,
+            [],
+            [],
+        )
+
+    def get_own_load(self, endpoint_id):
+        runs = self.own_loads.get(endpoint_id, 0)
+        return ttypes.EndpointLoad(endpoint_id, runs, runs * 3_500, 0, runs)
+
+    def list_own_loads(self):
+        return [self.get_own_load(name) for name in self.own_loads]
+
+    def list_own_limits(self, endpoint_ids, now_s):
+        return []
+
+    def list_news(self, now_s) -> dict[Hashable, gossip.NewsItem]:
+        return {
+            name: gossip.NewsItem("leaving", ttypes.LeavingEndpoint(name, name))
+            for name in self.news
+        }
+
+    def get_table_versions(self):
+        return self.tables
+
+    def apply_state(self, state):
+        pass
+
+    def apply_load(self, node, load):
+        self.loads.setdefault(node, {})[load.endpoint_id] = load.runs
+
+    def replace_loads(self, node, loads):
+        self.loads[node] = {load.endpoint_id: load.runs for load in loads}
+
+    def apply_limit(self, member, limit, now_s):
+        pass
+
+    def apply_news(self, news, now_s):
+        for item in news.leaving:
+            self.news.setdefault(item.endpoint_id, now_s)
+
+    def apply_table_versions(self, host, versions):
+        if versions.orders_version > self.tables.orders_version:
+            self.newer_hosts.append(host)
+        else:
+            self.tables.orders_confirmed_s = max(
+                self.tables.orders_confirmed_s, versions.orders_confirmed_s
+            )
+
+    def forget(self, state):
+        self.loads.pop(state.node, None)
--- a/libs/core/src/dandelionlead/core/hashing.py
+++ b/libs/core/src/dandelionlead/core/hashing.py
@@ -5,10 +5,15 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
+# Weights that are kept, as the same candidates are ranked again and again.
+_MAX_CACHED_WEIGHTS = 16_384
 
+
+@functools.lru_cache(_MAX_CACHED_WEIGHTS)
 def compute_weight(key: str, candidate: str) -> int:
     """Returns the rendezvous weight of a candidate, an unsigned 64-bit integer.
 
--- a/libs/gateway/src/dandelionlead/gateway/process_metrics.py
+++ b/libs/gateway/src/dandelionlead/gateway/process_metrics.py
@@ -5,7 +5,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import guards
 from dandelionlead.core import metrics
-from dandelionlead.gateway import heartbeats
+from dandelionlead.gateway import peer_state
 
 # Help texts by metric name; the end of the name is the unit.
 HELP_TEXTS = {
@@ -22,7 +22,7 @@
     ),
     "tries_total": "Attempts to send calls to endpoints.",
     "ready_bool": "1 if callers should use this process, else 0.",
-    "peers_count": "Peers whose heartbeats arrive.",
+    "peers_count": "Peers whose beats are recent.",
     "endpoints_count": "Endpoints in the endpoint list.",
     "open_endpoints_count": "Endpoints that accept new calls.",
     "configuration_version": "Version of the configuration in force.",
@@ -42,7 +42,7 @@
 
 
 def register_gauges(
-    metrics_registry: metrics.Registry, process_state: heartbeats.ProcessState
+    metrics_registry: metrics.Registry, process_state: peer_state.ProcessState
 ) -> None:
     """Registers the gauges, which are computed when the metrics are read.
 
@@ -78,7 +78,7 @@
         process_state: Components that hold the values.
     """
 
-    def __init__(self, process_state: heartbeats.ProcessState) -> None:
+    def __init__(self, process_state: peer_state.ProcessState) -> None:
         self._process_state = process_state
 
     def ready(self) -> float:
@@ -90,7 +90,9 @@
         )
 
     def peers(self) -> float:
-        return len(self._process_state.peer_roster.live_peers(clock.boottime()))
+        return len(
+            self._process_state.peer_roster.live_members(clock.boottime())
+        )
 
     def endpoints(self) -> float:
         return len(self._process_state.view.endpoints)
--- a/libs/gateway/src/dandelionlead/gateway/state_dump.py
+++ b/libs/gateway/src/dandelionlead/gateway/state_dump.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from dandelionlead.cluster import mirror
-from dandelionlead.gateway import heartbeats
+from dandelionlead.gateway import peer_state
 from dandelionlead.routing import model
 
 # Instant of an event that has not occurred.
@@ -20,8 +20,8 @@
 
     def __init__(
         self,
-        identity: heartbeats.ProcessIdentity,
-        process_state: heartbeats.ProcessState,
+        identity: peer_state.ProcessIdentity,
+        process_state: peer_state.ProcessState,
     ) -> None:
         self._identity = identity
         self._process_state = process_state
@@ -73,13 +73,13 @@
             ],
             "peers": [
                 {
-                    "name": peer.heartbeat.node,
-                    "availability_zone": peer.heartbeat.availability_zone,
-                    "heard_s_ago": round(now_s - peer.heartbeat_received_s, 3),
-                    "ready": peer.heartbeat.ready,
-                    "orders_version": peer.heartbeat.orders_version,
+                    "name": member.state.node,
+                    "availability_zone": member.state.availability_zone,
+                    "beat_s_ago": round(now_s - member.beat_s, 3),
+                    "ready": member.state.ready,
+                    "reads_store": member.state.reads_store,
                 }
-                for peer in process_state.peer_roster.live_peers(now_s)
+                for member in process_state.peer_roster.live_members(now_s)
             ],
         }
 
--- a/libs/routing/src/dandelionlead/routing/loads.py
+++ b/libs/routing/src/dandelionlead/routing/loads.py
@@ -262,6 +262,10 @@
             self._add_to_peer_sums(endpoint_id, load)
             stored[1][endpoint_id] = load
 
+    def remove_peer(self, peer: str) -> None:
+        """Removes the loads of a peer that is not live any more."""
+        self._remove_peer(peer)
+
     def get_own_loads(self) -> dict[str, Load]:
         """Returns the loads that this process causes, by endpoint id.
 
