--- a/libs/cluster/src/dandelionlead/cluster/gossip.py
+++ b/libs/cluster/src/dandelionlead/cluster/gossip.py
@@ -13,7 +13,6 @@
 
 from __future__ import annotations
 
-import abc
 import random
 from collections.abc import Callable
 from collections.abc import Hashable
@@ -21,6 +20,7 @@
 from dandelionlead.cluster import load_replicas
 from dandelionlead.cluster import roster
 from dandelionlead.cluster import rumors
+from dandelionlead.cluster import state_handler
 from dandelionlead.cluster.gen import ttypes
 
 # Number of beats in the message of a round: at least this many, and at least
@@ -58,123 +58,6 @@
 _NEWS_STAMP_STEP_S = 1.0
 
 
-class NewsItem:
-    """One thing that any process has found out.
-
-    Attributes:
-        field: Field of `ttypes.News` that contains it.
-        item: The structure in that field.
-        stamp_s: Time of what it states, in seconds; 0 if that never changes.
-    """
-
-    __slots__ = ("field", "item", "stamp_s")
-
-    def __init__(self, field: str, item: object, stamp_s: float = 0.0) -> None:
-        self.field = field
-        self.item = item
-        self.stamp_s = stamp_s
-
-
-class TableVersions:
-    """Versions of the replicated tables that a process holds.
-
-    Attributes:
-        orders_version: Version of the last change of the orders table.
-        endpoints_version: Version of the last change of the endpoints table
-            that affects the choice of an endpoint.
-        orders_confirmed_s: Time at which the store confirmed to any process
-            that the orders are current, in seconds of `clock.boottime`; minus
-            infinity if never.
-        endpoints_confirmed_s: The same for the endpoints.
-    """
-
-    __slots__ = (
-        "orders_version",
-        "endpoints_version",
-        "orders_confirmed_s",
-        "endpoints_confirmed_s",
-    )
-
-    def __init__(
-        self,
-        orders_version: int = -1,
-        endpoints_version: int = -1,
-        orders_confirmed_s: float = float("-inf"),
-        endpoints_confirmed_s: float = float("-inf"),
-    ) -> None:
-        self.orders_version = orders_version
-        self.endpoints_version = endpoints_version
-        self.orders_confirmed_s = orders_confirmed_s
-        self.endpoints_confirmed_s = endpoints_confirmed_s
-
-
-class StateHandler(abc.ABC):
-    """Provides the state of this process, and applies that of others."""
-
-    @abc.abstractmethod
-    def build_state(self, version: int, now_s: float) -> ttypes.MemberState:
-        """Returns what this process says of itself, with a version."""
-
-    @abc.abstractmethod
-    def get_own_load(self, endpoint_id: str) -> ttypes.EndpointLoad:
-        """Returns the load that this process causes at an endpoint."""
-
-    @abc.abstractmethod
-    def list_own_loads(self) -> list[ttypes.EndpointLoad]:
-        """Returns all loads that this process causes."""
-
-    @abc.abstractmethod
-    def list_own_limits(
-        self, endpoint_ids: set[str] | None, now_s: float
-    ) -> list[ttypes.EndpointLimit]:
-        """Returns the limits of endpoints as this process knows them.
-
-        Args:
-            endpoint_ids: Ids of the endpoints; None for all.
-            now_s: Current time in seconds.
-        """
-
-    @abc.abstractmethod
-    def list_news(self, now_s: float) -> dict[Hashable, NewsItem]:
-        """Returns what all processes should know, by a key."""
-
-    @abc.abstractmethod
-    def get_table_versions(self) -> TableVersions:
-        """Returns the versions of the tables of this process."""
-
-    @abc.abstractmethod
-    def apply_state(self, state: ttypes.MemberState) -> None:
-        """Applies what another process says of itself."""
-
-    @abc.abstractmethod
-    def apply_load(self, node: str, load: ttypes.EndpointLoad) -> None:
-        """Applies a changed load of another process."""
-
-    @abc.abstractmethod
-    def replace_loads(
-        self, node: str, loads: list[ttypes.EndpointLoad]
-    ) -> None:
-        """Replaces all loads of another process; none if it is not live."""
-
-    @abc.abstractmethod
-    def apply_limit(
-        self, member: roster.Member, limit: ttypes.EndpointLimit, now_s: float
-    ) -> None:
-        """Applies what another process knows of the limit of an endpoint."""
-
-    @abc.abstractmethod
-    def apply_news(self, news: ttypes.News, now_s: float) -> None:
-        """Applies what another process has found out."""
-
-    @abc.abstractmethod
-    def apply_table_versions(self, host: str, versions: TableVersions) -> None:
-        """Compares the versions of the tables of the process at a host."""
-
-    @abc.abstractmethod
-    def forget(self, state: ttypes.MemberState) -> None:
-        """Drops what another process says of itself; it is not live."""
-
-
 class _Update:
     """One update of a load, with the limit of its endpoint if there is one."""
 
@@ -209,7 +92,7 @@
         self,
         process_id: int,
         members: roster.Roster,
-        handler: StateHandler,
+        handler: state_handler.StateHandler,
         rng: random.Random,
         request_send: Callable[[bool], None],
     ) -> None:
@@ -234,8 +117,8 @@
         self._states: rumors.RumorQueue[ttypes.MemberState] = rumors.RumorQueue(
             _STATE_SENDS, _MAX_STATES
         )
-        self._news: rumors.RumorQueue[NewsItem] = rumors.RumorQueue(
-            _NEWS_SENDS, _MAX_NEWS
+        self._news: rumors.RumorQueue[state_handler.NewsItem] = (
+            rumors.RumorQueue(_NEWS_SENDS, _MAX_NEWS)
         )
         # Times of the news that were passed on, by key.
         self._spread_stamps_s: dict[Hashable, float] = {}
@@ -735,7 +618,7 @@
             self._handler.forget(member.state)
 
 
-def _build_news(items: list[NewsItem]) -> ttypes.News | None:
+def _build_news(items: list[state_handler.NewsItem]) -> ttypes.News | None:
     """Returns news as one structure; None if there are none."""
     if not items:
         return None
@@ -755,8 +638,10 @@
     return int(age_s / _BEAT_UNIT_S) + 2
 
 
-def _decode_tables(message: ttypes.Gossip, now_s: float) -> TableVersions:
-    return TableVersions(
+def _decode_tables(
+    message: ttypes.Gossip, now_s: float
+) -> state_handler.TableVersions:
+    return state_handler.TableVersions(
         message.orders_version,
         message.endpoints_version,
         _instant_s(message.orders_confirmed_ms_ago, now_s),
--- a/libs/cluster/src/dandelionlead/cluster/peer_transport.py
+++ b/libs/cluster/src/dandelionlead/cluster/peer_transport.py
@@ -21,6 +21,7 @@
 from dandelionlead.cluster import message_checks
 from dandelionlead.cluster import mirror
 from dandelionlead.cluster import roster
+from dandelionlead.cluster import state_handler
 from dandelionlead.cluster import table_sending
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
@@ -83,7 +84,7 @@
         process_id: int,
         members: roster.Roster,
         table_mirror: mirror.Mirror,
-        handler: gossip.StateHandler,
+        handler: state_handler.StateHandler,
         log: events.Log,
         guard: guards.LoopGuard,
         rng: random.Random,
--- a/libs/cluster/tests/gossip_handler.py
+++ b/libs/cluster/tests/gossip_handler.py
@@ -4,11 +4,11 @@
 
 from collections.abc import Hashable
 
-from dandelionlead.cluster import gossip
+from dandelionlead.cluster import state_handler
 from dandelionlead.cluster.gen import ttypes
 
 
-class RecordingHandler(gossip.StateHandler):
+class RecordingHandler(state_handler.StateHandler):
     """State of one process, and what it has heard of the others.
 
     Attributes:
@@ -25,7 +25,7 @@
         self.own_loads: dict[str, int] = {}
         self.loads: dict[str, dict[str, int]] = {}
         self.news: dict[str, float] = {}
-        self.tables = gossip.TableVersions(1, 1, 0.0, 0.0)
+        self.tables = state_handler.TableVersions(1, 1, 0.0, 0.0)
         self.newer_hosts: list[str] = []
 
     def build_state(self, version, now_s):
@@ -53,9 +53,11 @@
     def list_own_limits(self, endpoint_ids, now_s):
         return []
 
-    def list_news(self, now_s) -> dict[Hashable, gossip.NewsItem]:
+    def list_news(self, now_s) -> dict[Hashable, state_handler.NewsItem]:
         return {
-            name: gossip.NewsItem("leaving", ttypes.LeavingEndpoint(name, name))
+            name: state_handler.NewsItem(
+                "leaving", ttypes.LeavingEndpoint(name, name)
+            )
             for name in self.news
         }
 
--- a/libs/cluster/tests/test_peer_transport.py
+++ b/libs/cluster/tests/test_peer_transport.py
@@ -15,11 +15,11 @@
 import eventlet
 import gossip_handler
 
-from dandelionlead.cluster import gossip
 from dandelionlead.cluster import message_checks
 from dandelionlead.cluster import mirror
 from dandelionlead.cluster import peer_transport
 from dandelionlead.cluster import roster
+from dandelionlead.cluster import state_handler
 from dandelionlead.cluster import table_copier
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
@@ -202,7 +202,7 @@
         self.copier: table_copier.TableCopier | None = None
 
     def get_table_versions(self):
-        return gossip.TableVersions(self.table.version, 1, 0.0, 0.0)
+        return state_handler.TableVersions(self.table.version, 1, 0.0, 0.0)
 
     def apply_table_versions(self, host, versions):
         if versions.orders_version > self.table.version:
--- a/libs/gateway/src/dandelionlead/gateway/peer_state.py
+++ b/libs/gateway/src/dandelionlead/gateway/peer_state.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable
 from collections.abc import Hashable
 
-from dandelionlead.cluster import gossip
 from dandelionlead.cluster import mirror
 from dandelionlead.cluster import read_duty
 from dandelionlead.cluster import roster
+from dandelionlead.cluster import state_handler
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
 from dandelionlead.gateway import serving
@@ -108,7 +108,7 @@
         self.store_access = store_access
 
 
-class PeerState(gossip.StateHandler):
+class PeerState(state_handler.StateHandler):
     """Converts between messages and the state of this process.
 
     Args:
@@ -175,40 +175,42 @@
         limits = self._process_state.scheduler.endpoint_limits
         return _encode_limits(limits.list_reports(now_s, endpoint_ids), now_s)
 
-    def list_news(self, now_s: float) -> dict[Hashable, gossip.NewsItem]:
+    def list_news(self, now_s: float) -> dict[Hashable, state_handler.NewsItem]:
         """Returns what all processes should know, by a key."""
         scheduler = self._process_state.scheduler
         prompts = scheduler.prompt_crash_tracker
-        news: dict[Hashable, gossip.NewsItem] = {}
+        news: dict[Hashable, state_handler.NewsItem] = {}
         for endpoint in self._process_state.view.list_leaving():
             incarnation = endpoint.incarnation
-            news["leaving", incarnation] = gossip.NewsItem(
+            news["leaving", incarnation] = state_handler.NewsItem(
                 "leaving",
                 ttypes.LeavingEndpoint(endpoint.endpoint_id, incarnation),
             )
         for mark in scheduler.crash_tracker.list_crashes(now_s):
-            news["crash", mark] = gossip.NewsItem(
+            news["crash", mark] = state_handler.NewsItem(
                 "crashes", ttypes.CrashMark(*mark)
             )
         for crash in prompts.list_shared_crashes(now_s):
-            news["prompt", crash.incarnation, crash.part_ids] = gossip.NewsItem(
-                "prompt_crashes", _encode_prompt_crash(crash, now_s)
+            news["prompt", crash.incarnation, crash.part_ids] = (
+                state_handler.NewsItem(
+                    "prompt_crashes", _encode_prompt_crash(crash, now_s)
+                )
             )
         for part in prompts.list_shared_sound_parts(now_s):
-            news["sound", part.part_id] = gossip.NewsItem(
+            news["sound", part.part_id] = state_handler.NewsItem(
                 "sound_parts",
                 ttypes.SoundPart(part.part_id, _ms_since(part.sound_s, now_s)),
                 part.sound_s,
             )
         for verdict in self._list_verdicts():
             key = ("verdict", verdict.service_name, verdict.order_version)
-            news[key] = gossip.NewsItem("verdicts", verdict)
+            news[key] = state_handler.NewsItem("verdicts", verdict)
         return news
 
-    def get_table_versions(self) -> gossip.TableVersions:
+    def get_table_versions(self) -> state_handler.TableVersions:
         """Returns the versions of the tables of this process."""
         state = self._process_state
-        return gossip.TableVersions(
+        return state_handler.TableVersions(
             state.orders_table.last_change_version,
             state.view.endpoints_version,
             state.orders_table.last_confirmed_s,
@@ -309,7 +311,7 @@
                 )
 
     def apply_table_versions(
-        self, host: str, versions: gossip.TableVersions
+        self, host: str, versions: state_handler.TableVersions
     ) -> None:
         """Notes confirmations, and copies tables that are newer at a host.
 
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -14,6 +14,7 @@
 from dandelionlead.cluster import peer_transport
 from dandelionlead.cluster import read_duty
 from dandelionlead.cluster import roster
+from dandelionlead.cluster import state_handler
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
 from dandelionlead.core import errors
@@ -204,7 +205,7 @@
                 self.orders.last_confirmed_s = 1.0
                 self.newer_hosts.clear()
                 self.peer_state.apply_table_versions(
-                    "10.0.0.2", gossip.TableVersions(version, -1, 9.5)
+                    "10.0.0.2", state_handler.TableVersions(version, -1, 9.5)
                 )
                 confirmed_s = 9.5 if is_confirmed else 1.0
                 self.assertEqual(self.orders.last_confirmed_s, confirmed_s)
@@ -213,7 +214,7 @@
     def test_older_confirmation_is_ignored(self) -> None:
         self.orders.last_confirmed_s = 9.0
         self.peer_state.apply_table_versions(
-            "10.0.0.2", gossip.TableVersions(5, -1, 8.0)
+            "10.0.0.2", state_handler.TableVersions(5, -1, 8.0)
         )
         self.assertEqual(self.orders.last_confirmed_s, 9.0)
 
