--- a/libs/cluster/src/dandelionlead/cluster/gossip.py
+++ b/libs/cluster/src/dandelionlead/cluster/gossip.py
@@ -15,12 +15,14 @@
 
 import random
 from collections.abc import Callable
-from collections.abc import Hashable
 
 from dandelionlead.cluster import load_replicas
+from dandelionlead.cluster import news_spreading
+from dandelionlead.cluster import own_loads
 from dandelionlead.cluster import roster
 from dandelionlead.cluster import rumors
 from dandelionlead.cluster import state_handler
+from dandelionlead.cluster import state_requests
 from dandelionlead.cluster.gen import ttypes
 
 # Number of beats in the message of a round: at least this many, and at least
@@ -32,48 +34,13 @@
 _MAX_UPDATES = 128
 _MAX_STATES = 32
 _MAX_SNAPSHOTS = 16
-_MAX_NEWS = 16
-_MAX_WANTED = 32
-# Number of items of news that each message of a round repeats, for processes
-# that have missed them.
-_REPEATED_NEWS = 2
 # Number of messages, each to `roster.FANOUT` processes, that contain an item.
 # Updates of loads that do not arrive are requested; news and states are few.
 _LOAD_SENDS = 1
 _STATE_SENDS = 1
-_NEWS_SENDS = 2
-# Time for which the state of a process is not requested again, and shortest
-# time between two requests for the states of all processes.
-_STATE_REQUEST_PAUSE_S = 0.5
-_ALL_STATES_REQUEST_PAUSE_S = 1.0
-# The states of all processes are requested while fewer than this fraction of
-# the listed instances are known, but not more often than this, because listed
-# instances may be gone.
-_KNOWN_FRACTION = 0.9
-_MAX_ALL_STATES_REQUESTS = 4
 # Unit of the ages of beats in seconds, and the oldest beat that is passed on.
 _BEAT_UNIT_S = 0.05
 _MAX_BEAT_AGE_S = 3.0
-# News that is stated again with a later time counts as new only after this.
-_NEWS_STAMP_STEP_S = 1.0
-
-
-class _Update:
-    """One update of a load, with the limit of its endpoint if there is one."""
-
-    __slots__ = ("process_id", "number", "load", "limit")
-
-    def __init__(
-        self,
-        process_id: int,
-        number: int,
-        load: ttypes.EndpointLoad,
-        limit: ttypes.EndpointLimit | None,
-    ) -> None:
-        self.process_id = process_id
-        self.number = number
-        self.load = load
-        self.limit = limit
 
 
 class Gossip:
@@ -106,32 +73,21 @@
         self._live: dict[int, roster.Member] = {}
         self._own_state: ttypes.MemberState | None = None
         self._is_state_changed = True
-        # Endpoints with an own load that was not sent since it changed, and the
-        # loads that were sent last, by endpoint id.
-        self._changed_endpoint_ids: set[str] = set()
-        self._sent_loads: dict[str, ttypes.EndpointLoad] = {}
-        self._own_number = 0
-        self._updates: rumors.RumorQueue[_Update] = rumors.RumorQueue(
+        self._own_loads = own_loads.OwnLoads(process_id, handler)
+        self._updates: rumors.RumorQueue[own_loads.Update] = rumors.RumorQueue(
             _LOAD_SENDS, _MAX_UPDATES
         )
         self._states: rumors.RumorQueue[ttypes.MemberState] = rumors.RumorQueue(
             _STATE_SENDS, _MAX_STATES
         )
-        self._news: rumors.RumorQueue[state_handler.NewsItem] = (
-            rumors.RumorQueue(_NEWS_SENDS, _MAX_NEWS)
-        )
-        # Times of the news that were passed on, by key.
-        self._spread_stamps_s: dict[Hashable, float] = {}
+        self._news = news_spreading.NewsSpreading(handler, rng)
+        self._requests = state_requests.StateRequests(process_id, members)
         self._is_news_changed = False
         self._is_announcement_due = False
-        # Times of the requests for states that were sent lately, by process id.
-        self._state_requests_s: dict[int, float] = {}
-        self._last_all_request_s = float("-inf")
-        self._all_request_count = 0
 
     def note_load_changed(self, endpoint_id: str) -> None:
         """Schedules an update of the own load at an endpoint."""
-        self._changed_endpoint_ids.add(endpoint_id)
+        self._own_loads.note_changed(endpoint_id)
         self._request_send(False)
 
     def note_limit_changed(self, endpoint_id: str) -> None:
@@ -140,7 +96,7 @@
         It is urgent: while it is on its way, others send requests that count
         towards the limit.
         """
-        self._changed_endpoint_ids.add(endpoint_id)
+        self._own_loads.note_changed(endpoint_id)
         self._request_send(True)
 
     def note_state_changed(self) -> None:
@@ -161,7 +117,7 @@
     def has_changes(self) -> bool:
         """Returns whether a message has anything to pass on."""
         return bool(
-            self._changed_endpoint_ids
+            self._own_loads.has_changes()
             or self._is_state_changed
             or self._is_news_changed
             or self._is_announcement_due
@@ -190,14 +146,14 @@
         To be called at regular intervals.
         """
         self._update_live_members(now_s)
-        self._find_changed_loads()
+        self._own_loads.find_changed()
         self._is_state_changed = self._is_news_changed = True
         self._collect_own_changes(now_s)
         message = self._build_message(now_s)
         self._add_changes(message)
         self._add_beats(message, now_s)
         self._add_digests(message)
-        self._add_repeated_news(message, now_s)
+        message.news = message.news or self._news.draw_repeated(now_s)
         return message
 
     def handle(
@@ -233,46 +189,15 @@
 
     def _collect_own_changes(self, now_s: float) -> None:
         """Queues what has changed in this process since the last message."""
-        if self._changed_endpoint_ids:
-            self._queue_own_updates(now_s)
+        if self._own_loads.has_changes():
+            for update in self._own_loads.take_updates(now_s):
+                self._updates.add((update.process_id, update.number), update)
         if self._is_state_changed:
             self._is_state_changed = False
             self._queue_own_state(now_s)
         if self._is_news_changed:
             self._is_news_changed = False
-            self._collect_news(now_s, passes_on=True)
-
-    def _queue_own_updates(self, now_s: float) -> None:
-        endpoint_ids, self._changed_endpoint_ids = (
-            self._changed_endpoint_ids,
-            set(),
-        )
-        limits = {
-            limit.endpoint_id: limit
-            for limit in self._handler.list_own_limits(endpoint_ids, now_s)
-        }
-        for endpoint_id in endpoint_ids:
-            load = self._handler.get_own_load(endpoint_id)
-            limit = limits.get(endpoint_id)
-            if load == self._sent_loads.get(endpoint_id) and limit is None:
-                continue
-            self._sent_loads[endpoint_id] = load
-            if not load_replicas.has_load(load):
-                del self._sent_loads[endpoint_id]
-            self._own_number += 1
-            update = _Update(self._process_id, self._own_number, load, limit)
-            self._updates.add((self._process_id, self._own_number), update)
-
-    def _find_changed_loads(self) -> None:
-        """Notes the loads of short calls, which are sent in rounds only."""
-        loads = {
-            load.endpoint_id: load for load in self._handler.list_own_loads()
-        }
-        self._changed_endpoint_ids |= {
-            endpoint_id
-            for endpoint_id in loads.keys() | self._sent_loads.keys()
-            if loads.get(endpoint_id) != self._sent_loads.get(endpoint_id)
-        }
+            self._news.collect(now_s, passes_on=True)
 
     def _queue_own_state(self, now_s: float) -> None:
         current = self._own_state
@@ -284,25 +209,6 @@
         self._own_state = state
         self._states.add(self._process_id, state)
 
-    def _collect_news(self, now_s: float, *, passes_on: bool) -> None:
-        """Queues the news that were not passed on yet, or notes them only."""
-        news = self._handler.list_news(now_s)
-        self._spread_stamps_s = {
-            key: stamp_s
-            for key, stamp_s in self._spread_stamps_s.items()
-            if key in news
-        }
-        for key, item in news.items():
-            stamp_s = self._spread_stamps_s.get(key)
-            if (
-                stamp_s is not None
-                and item.stamp_s <= stamp_s + _NEWS_STAMP_STEP_S
-            ):
-                continue
-            self._spread_stamps_s[key] = item.stamp_s
-            if passes_on:
-                self._news.add(key, item)
-
     # Messages.
 
     def _build_message(self, now_s: float) -> ttypes.Gossip:
@@ -334,7 +240,7 @@
                 if item.limit is not None
             ] or None
         message.states = self._states.take() or None
-        message.news = _build_news(self._news.take())
+        message.news = self._news.take()
 
     def _add_beats(self, message: ttypes.Gossip, now_s: float) -> None:
         recent = [
@@ -360,7 +266,7 @@
             [self._process_id, *(member.process_id for member in members)],
             [own_version, *(member.state.version for member in members)],
             [
-                self._own_number,
+                self._own_loads.number,
                 *(
                     self._replicas[member.process_id].complete_number
                     for member in members
@@ -368,13 +274,6 @@
             ],
         )
 
-    def _add_repeated_news(self, message: ttypes.Gossip, now_s: float) -> None:
-        if message.news is not None:
-            return
-        news = list(self._handler.list_news(now_s).values())
-        count = min(_REPEATED_NEWS, len(news))
-        message.news = _build_news(self._rng.sample(news, count))
-
     def _build_replies(
         self, message: ttypes.Gossip, now_s: float
     ) -> list[ttypes.Gossip]:
@@ -417,12 +316,7 @@
         self, process_id: int, now_s: float
     ) -> ttypes.LoadSnapshot | None:
         if process_id == self._process_id:
-            return ttypes.LoadSnapshot(
-                process_id,
-                self._own_number,
-                list(self._sent_loads.values()),
-                self._handler.list_own_limits(None, now_s),
-            )
+            return self._own_loads.build_snapshot(now_s)
         replica = self._replicas.get(process_id)
         if replica is None:
             return None
@@ -437,28 +331,10 @@
         self, message: ttypes.Gossip, wanted_loads: list[int], now_s: float
     ) -> ttypes.Gossip | None:
         """Returns a request for what the sender of a message has; or None."""
-        versions = {message.process: 0}
-        if message.beats is not None:
-            versions |= dict.fromkeys(message.beats.processes, 0)
-        if message.digests is not None:
-            versions |= dict(
-                zip(
-                    message.digests.processes,
-                    message.digests.state_versions,
-                    strict=True,
-                )
-            )
-        wanted_states = [
-            process_id
-            for process_id, version in versions.items()
-            if self._lacks_state(process_id, version)
-            and process_id not in self._state_requests_s
-        ][:_MAX_WANTED]
-        wants_all = self._must_request_all(now_s)
+        wanted_states = self._requests.choose(message, now_s)
+        wants_all = self._requests.must_request_all(now_s)
         if not (wanted_states or wanted_loads or wants_all):
             return None
-        for process_id in wanted_states:
-            self._state_requests_s[process_id] = now_s
         request = self._build_message(now_s)
         request.reaches_all = True
         request.wanted_states = wanted_states or None
@@ -466,26 +342,6 @@
         request.wants_all_states = wants_all or None
         return request
 
-    def _lacks_state(self, process_id: int, version: int) -> bool:
-        if process_id == self._process_id:
-            return False
-        member = self._members.get(process_id)
-        return member is None or member.state.version < version
-
-    def _must_request_all(self, now_s: float) -> bool:
-        """Returns whether to request the states of all processes now."""
-        known_count = len(self._members.list_members())
-        listed_count = self._members.count_listed_hosts()
-        if known_count >= _KNOWN_FRACTION * listed_count:
-            return False
-        if now_s - self._last_all_request_s < _ALL_STATES_REQUEST_PAUSE_S:
-            return False
-        if self._all_request_count >= _MAX_ALL_STATES_REQUESTS:
-            return False
-        self._last_all_request_s = now_s
-        self._all_request_count += 1
-        return True
-
     # Received messages.
 
     def _handle_states(self, message: ttypes.Gossip, now_s: float) -> None:
@@ -556,7 +412,7 @@
                 replica.limits[limit.endpoint_id] = limit
                 self._handler.apply_limit(member, limit, now_s)
             if not message.reaches_all:
-                update = _Update(process_id, number, load, limit)
+                update = own_loads.Update(process_id, number, load, limit)
                 self._updates.add((process_id, number), update)
                 self._request_send(limit is not None)
 
@@ -576,9 +432,9 @@
     def _handle_news(self, message: ttypes.Gossip, now_s: float) -> None:
         if message.news is None:
             return
-        self._collect_news(now_s, passes_on=True)
+        self._news.collect(now_s, passes_on=True)
         self._handler.apply_news(message.news, now_s)
-        self._collect_news(now_s, passes_on=not message.reaches_all)
+        self._news.collect(now_s, passes_on=not message.reaches_all)
         if self._news:
             self._request_send(True)
 
@@ -605,11 +461,7 @@
                     member.state.node, self._replicas[process_id].list_loads()
                 )
         self._live = live
-        self._state_requests_s = {
-            process_id: requested_s
-            for process_id, requested_s in self._state_requests_s.items()
-            if now_s - requested_s < _STATE_REQUEST_PAUSE_S
-        }
+        self._requests.drop_old(now_s)
 
     def _drop(self, member: roster.Member) -> None:
         """Drops what is known of a member."""
@@ -618,16 +470,6 @@
             self._handler.forget(member.state)
 
 
-def _build_news(items: list[state_handler.NewsItem]) -> ttypes.News | None:
-    """Returns news as one structure; None if there are none."""
-    if not items:
-        return None
-    news = ttypes.News([], [], [], [], [])
-    for item in items:
-        getattr(news, item.field).append(item.item)
-    return news
-
-
 def _encode_age(age_s: float) -> int:
     """Returns the age of a beat in units.
 
