--- a/libs/cluster/src/dandelionlead/cluster/__init__.py
+++ b/libs/cluster/src/dandelionlead/cluster/__init__.py
@@ -1,1 +1,1 @@
-"""Heartbeats between processes, live peers, table copies and read duty."""
+"""Gossip between processes, copies of loads and tables, and read duty."""
--- a/libs/cluster/src/dandelionlead/cluster/table_copier.py
+++ b/libs/cluster/src/dandelionlead/cluster/table_copier.py
@@ -15,7 +15,7 @@
 from dandelionlead.core import metrics
 
 # Shortest time between the starts of two copies if the second one is started
-# because a peer's heartbeat lists a newer version.
+# because a peer's message names a newer version.
 MIN_UPDATE_PAUSE_S = 0.15
 # Largest value of a row, which a compressed value must not exceed.
 _MAX_VALUE_BYTES = 8_388_608
--- a/libs/gateway/src/dandelionlead/gateway/peer_state.py
+++ b/libs/gateway/src/dandelionlead/gateway/peer_state.py
@@ -73,7 +73,7 @@
         view: Holds the configuration and the endpoints in force.
         scheduler: Tracks loads, health and crashes of endpoints.
         serving_state: Decides whether the process accepts calls.
-        peer_roster: Holds the peers and their last heartbeats.
+        peer_roster: Holds what is known of the peers.
         orders_table: Replicated table of the operator's orders.
         endpoints_table: Replicated table of the endpoints.
         store_access: Whether this process can read the store.
--- a/libs/gateway/src/dandelionlead/gateway/serving.py
+++ b/libs/gateway/src/dandelionlead/gateway/serving.py
@@ -10,7 +10,7 @@
 # A process that can reach neither the platform nor a peer keeps accepting calls
 # for this time after its configuration was last confirmed. The limit does not
 # apply during an outage of the platform that affects all processes, since
-# heartbeats from peers still arrive.
+# messages from peers still arrive.
 MAX_UNCONFIRMED_S = 10.0
 # Upper estimates of the duration of a generation on a crowded engine: the time
 # to the first event as a multiple of the route's latency objective, and seconds
@@ -26,7 +26,7 @@
         is_stopping: Whether a stop of the process was requested.
         stop_deadline_s: Latest instant at which the process stops, in seconds;
             infinite while no stop was requested.
-        is_isolated: Whether no heartbeats from peers arrive.
+        is_isolated: Whether no peer is live.
     """
 
     __slots__ = ("is_stopping", "stop_deadline_s", "is_isolated")
@@ -61,7 +61,7 @@
         Returns:
             `NOT_READY` before the first configuration; `STALE_RULES` if the
             configuration was confirmed more than `MAX_UNCONFIRMED_S` ago and no
-            heartbeats from peers arrive; else None.
+            peer is live; else None.
         """
         if view.configuration is None:
             return errors.Failure(
--- a/libs/gateway/src/dandelionlead/gateway/supervisor.py
+++ b/libs/gateway/src/dandelionlead/gateway/supervisor.py
@@ -192,7 +192,7 @@
     def _mark_unsaved(self, run: runs.Run) -> None:
         """Marks a run as unsaved if it is lost when its engine stops.
 
-        Heartbeats and load changes report the number of such runs to the peers.
+        The peers are told the number of such runs with the loads.
         Repeatable runs and runs with a backup are not marked.
         """
         if run.backup_engine is None and not run.admitted.route.is_repeatable:
--- a/libs/routing/src/dandelionlead/routing/crashes.py
+++ b/libs/routing/src/dandelionlead/routing/crashes.py
@@ -4,7 +4,7 @@
 recorded if the endpoint then becomes unreachable, or if its entry is removed
 without a leaving notice. A request that crashed several endpoints is rejected.
 Callers may send a request again through any process, so processes share the
-crashes in heartbeats. No crash is recorded for a request that completed
+crashes with each other. No crash is recorded for a request that completed
 recently at any endpoint, because such a request merely ran on the endpoint that
 crashed and did not cause the crash.
 """
@@ -29,7 +29,7 @@
 # Time for which a crash or a completed request counts.
 EVIDENCE_EXPIRY_S = 600.0
 # Time for which a crash of a request that is not quarantined is sent to peers,
-# and the maximum number of crashes in a heartbeat. Heartbeats go to all peers,
+# and the maximum number of crashes that are shared. They go to all peers,
 # also over slow links.
 SHARE_S = 10.0
 MAX_SHARED = 32
--- a/libs/routing/src/dandelionlead/routing/loads.py
+++ b/libs/routing/src/dandelionlead/routing/loads.py
@@ -194,7 +194,7 @@
         """Calls the listener if the work takes engine memory.
 
         Peers receive the load of work without engine memory with the next
-        heartbeat.
+        round of messages.
         """
         if memory_tokens:
             self.change_listener(endpoint_id)
--- a/libs/routing/src/dandelionlead/routing/prompt_crashes.py
+++ b/libs/routing/src/dandelionlead/routing/prompt_crashes.py
@@ -11,7 +11,7 @@
 all engines crash, they are not; then the crashes are attributed to the parts
 that were found sound the longest time ago, or never.
 
-Processes share crashes and sound parts in heartbeats, because calls with the
+Processes share crashes and sound parts with each other, because calls with the
 same part arrive at any process.
 """
 
@@ -35,7 +35,7 @@
 # Time for which new evidence is sent to peers. Crashes of quarantined parts are
 # sent as long as they count, for processes that start later.
 SHARE_S = 10.0
-# Maximum numbers of crashes and of sound parts in a heartbeat. Heartbeats go to
+# Maximum numbers of crashes and of sound parts that are shared. They go to
 # all peers, also over slow links.
 MAX_SHARED = 16
 # Maximum numbers of crashes and of sound parts that are kept.
--- a/libs/routing/src/dandelionlead/routing/rollouts.py
+++ b/libs/routing/src/dandelionlead/routing/rollouts.py
@@ -3,7 +3,7 @@
 Until the verdict, all processes together limit the calls to the new version to
 a share of the service's calls plus a fixed number. Each process counts the
 calls that it sent and their outcomes, and sends its counts to its peers in
-heartbeats. The verdict is based on the counts of all processes and is final:
+messages. The verdict is based on the counts of all processes and is final:
 the rollout is completed or rolled back. The module uses no clock and no I/O.
 """
 
@@ -62,7 +62,7 @@
 _MIN_STANDARD_ERRORS = 3.0
 _MIN_STANDARD_ERRORS_WHEN_DUE = 2.0
 # Number of routes whose durations a process sends to its peers. It bounds the
-# size of a heartbeat.
+# size of a message.
 _MAX_SHARED_ROUTES = 8
 # Shortest duration that is told apart from shorter ones.
 _MIN_DURATION_S = 0.001
