Announce tables to all although a reply goes to one; draw hosts once each

Cause, found while reading the change: a reply or request to one process cleared the mark that the new version of a table is to be announced, so that the others heard of it with the next round, up to 0.3 s later. And the hosts of a message were drawn until there were enough different ones, without end if processes state the same host.

Change: only messages to several processes clear the mark; hosts are drawn from the different ones. Both tests are new; the first fails on the code before, the second did not end there.

--- a/libs/cluster/src/dandelionlead/cluster/gossip.py
+++ b/libs/cluster/src/dandelionlead/cluster/gossip.py
@@ -229,7 +229,6 @@
 
     def _build_message(self, now_s: float) -> ttypes.Gossip:
         versions = self._handler.get_table_versions()
-        self._is_announcement_due = False
         return ttypes.Gossip(
             process=self._process_id,
             orders_version=versions.orders_version,
@@ -244,7 +243,8 @@
         )
 
     def _add_changes(self, message: ttypes.Gossip) -> None:
-        """Adds what is queued to a message."""
+        """Adds what is queued to a message for some processes."""
+        self._is_announcement_due = False
         updates = self._updates.take()
         if updates:
             message.loads = load_replicas.pack_updates(
--- a/libs/cluster/src/dandelionlead/cluster/roster.py
+++ b/libs/cluster/src/dandelionlead/cluster/roster.py
@@ -215,11 +215,10 @@
             if member.state.availability_zone == self._own_zone
         ]
         hosts = [rng.choice(nearby)] if nearby else []
-        while len(hosts) < min(FANOUT, len(live)):
-            host = rng.choice(live).state.host
-            if host not in hosts:
-                hosts.append(host)
-        return hosts
+        others = dict.fromkeys(member.state.host for member in live)
+        others = [host for host in others if host not in hosts]
+        count = min(FANOUT - len(hosts), len(others))
+        return hosts + rng.sample(others, count)
 
     def choose_unknown_host(
         self, rng: random.Random, now_s: float
--- a/libs/cluster/tests/test_gossip.py
+++ b/libs/cluster/tests/test_gossip.py
@@ -396,6 +396,24 @@
         self.assertLess(network.measure_until(copy, 5.0), 1.0)
 
 
+class AnnouncementTest(unittest.TestCase):
+    """Guards against a new table that is announced to one process only."""
+
+    def test_reply_to_one_process_is_no_announcement(self) -> None:
+        network = _Network(1)
+        process, other = network.start(2)
+        network.run(2.0)
+        now_s = network.now_s
+        process.gossip.build_round(now_s)
+        process.gossip.note_tables_changed()
+        request = other.gossip.build_round(now_s)
+        request.wants_all_states = True
+        replies = process.gossip.handle(request, other.host, now_s)
+        self.assertTrue(replies)
+        self.assertIsNotNone(process.gossip.build_change(now_s))
+        self.assertIsNone(process.gossip.build_change(now_s))
+
+
 class RestartTest(unittest.TestCase):
     """Guards against a process that is ignored after it started again."""
 
@@ -405,6 +423,17 @@
             True, [], [],
         )  # fmt: skip
 
+    def test_processes_that_state_the_same_host_get_one_message(self) -> None:
+        members = roster.Roster("own", "10.0.0.1", "z")
+        for number in range(20):
+            state = self._make_state(5)
+            state.node = f"n{number}"
+            process_id = roster.compute_process_id(state.node, 5)
+            members.note_beat(process_id, 10.0)
+            members.accept_state(state, 10.0)
+        hosts = members.choose_hosts(random.Random(1), 10.0)
+        self.assertEqual(hosts, ["10.0.0.2"])
+
     def test_later_or_only_live_start_counts(self) -> None:
         # Incarnations of the first and second start, seconds between the last
         # beat of the first and the state of the second, whether it replaces
