--- a/libs/cluster/src/dandelionlead/cluster/gossip.py
+++ b/libs/cluster/src/dandelionlead/cluster/gossip.py
@@ -32,7 +32,7 @@
 # Number of beats in the message of a round: at least this many, and at least
 # this fraction of all. Largest number of digests.
 _MIN_BEATS = 100
-_BEATS_FRACTION = 1 / 3
+_BEATS_FRACTION = 0.28
 _MAX_DIGESTS = 40
 # Largest numbers of items in one message.
 _MAX_UPDATES = 128
