--- a/libs/cluster/src/dandelionlead/cluster/peer_transport.py
+++ b/libs/cluster/src/dandelionlead/cluster/peer_transport.py
@@ -34,7 +34,7 @@
 # processes or for an urgent change, and otherwise. In the latter case many
 # changes of others arrive in between and are passed on together.
 MIN_SEND_PAUSE_S = 0.01
-MIN_BATCH_PAUSE_S = 0.08
+MIN_BATCH_PAUSE_S = 0.15
 # Pause after a socket error in a loop.
 _ERROR_PAUSE_S = 0.01
 # If the loop of the rounds has not run for this time, the process was paused.
