--- a/libs/cluster/src/dandelionlead/cluster/roster.py
+++ b/libs/cluster/src/dandelionlead/cluster/roster.py
@@ -246,10 +246,6 @@
             self._live_until_s = now_s + _LIVE_CACHE_S
         return self._live
 
-    def is_live(self, member: Member, now_s: float) -> bool:
-        """Returns whether a process is live."""
-        return now_s - member.beat_s <= self.timeout_s()
-
     def member_names(self, now_s: float) -> list[str]:
         """Returns the names of the processes that limits are divided among.
 
--- a/libs/routing/src/dandelionlead/routing/loads.py
+++ b/libs/routing/src/dandelionlead/routing/loads.py
@@ -236,7 +236,7 @@
             loads: Loads that the peer causes, by endpoint id.
             expires_s: Time in seconds until which these loads count.
         """
-        self._remove_peer(peer)
+        self.remove_peer(peer)
         self._peer_loads[peer] = (expires_s, loads)
         self._next_expiry_s = min(self._next_expiry_s, expires_s)
         for endpoint_id, load in loads.items():
@@ -263,8 +263,10 @@
             stored[1][endpoint_id] = load
 
     def remove_peer(self, peer: str) -> None:
-        """Removes the loads of a peer that is not live any more."""
-        self._remove_peer(peer)
+        """Removes the loads of a peer, also from the sums."""
+        _, loads = self._peer_loads.pop(peer, (0.0, {}))
+        for endpoint_id, load in loads.items():
+            self._add_to_peer_sums(endpoint_id, load, -1)
 
     def get_own_loads(self) -> dict[str, Load]:
         """Returns the loads that this process causes, by endpoint id.
@@ -309,18 +311,12 @@
             if now_s > expires_s
         ]
         for peer in expired:
-            self._remove_peer(peer)
+            self.remove_peer(peer)
         self._next_expiry_s = min(
             (expires_s for expires_s, _ in self._peer_loads.values()),
             default=float("inf"),
         )
 
-    def _remove_peer(self, peer: str) -> None:
-        """Removes the loads of a peer, also from the sums."""
-        _, loads = self._peer_loads.pop(peer, (0.0, {}))
-        for endpoint_id, load in loads.items():
-            self._add_to_peer_sums(endpoint_id, load, -1)
-
     def _add_to_peer_sums(
         self, endpoint_id: str, load: Load, times: int = 1
     ) -> None:
