--- a/review/stand_ins/test_bed.py
+++ b/review/stand_ins/test_bed.py
@@ -237,6 +237,51 @@
             hint: Estimate of the number of output tokens.
             give_up_gap_s: The requester leaves after a gap of this time.
         """
+        lines = [
+            "X-Dandelionlead-Model: m",
+            f"X-Dandelionlead-Token-Usage: {prompt_tokens},{output_tokens}",
+            f"X-Dandelionlead-Length-Hint: {hint}",
+            f"X-Dandelionlead-Prefix-Hash: {self._request_count + 1:x}"
+            f":{prompt_tokens}",
+        ]
+        answer = await self._exchange(
+            host, path, lines, fields, deadline_ms, give_up_gap_s
+        )
+        self.record(
+            "requester",
+            answer.request_id,
+            f"status={answer.status} complete={answer.is_complete}"
+            f" events={answer.count_events()} of={fields['events']}"
+            f" gave_up={answer.is_given_up}"
+            f" waited_s={answer.ended_s - answer.sent_s:.3f}",
+        )
+        return answer
+
+    async def send_plain(
+        self, host: str, path: str, *, deadline_ms: int
+    ) -> Answer:
+        """Sends a request to a plain service and reads its answer."""
+        answer = await self._exchange(
+            host, path, [], {}, deadline_ms, deadline_ms / 1e3
+        )
+        self.record(
+            "requester",
+            answer.request_id,
+            f"status={answer.status} complete={answer.is_complete}"
+            f" body={answer.body!r}",
+        )
+        return answer
+
+    async def _exchange(
+        self,
+        host: str,
+        path: str,
+        header_lines: list[str],
+        fields: dict[str, object],
+        deadline_ms: int,
+        give_up_gap_s: float,
+    ) -> Answer:
+        """Sends a request on a new channel and reads the answer."""
         self._request_count += 1
         answer = Answer(f"{self._request_count:016x}", host, self.now_s())
         body = json.dumps(fields).encode()
@@ -244,10 +289,7 @@
             f"POST {path} HTTP/1.1",
             f"Host: {HOST}",
             f"X-Dandelionlead-Request-Id: {answer.request_id}",
-            "X-Dandelionlead-Model: m",
-            f"X-Dandelionlead-Token-Usage: {prompt_tokens},{output_tokens}",
-            f"X-Dandelionlead-Length-Hint: {hint}",
-            f"X-Dandelionlead-Prefix-Hash: {answer.request_id}:{prompt_tokens}",
+            *header_lines,
             f"X-Dandelionlead-Deadline-Ms: {deadline_ms}",
             f"Authorization: Token {API_KEY}",
             f"Content-Length: {len(body)}",
@@ -275,14 +317,6 @@
         finally:
             writer.close()
         answer.ended_s = self.now_s()
-        self.record(
-            "requester",
-            answer.request_id,
-            f"status={answer.status} complete={answer.is_complete}"
-            f" events={answer.count_events()} of={fields.get('events')}"
-            f" gave_up={answer.is_given_up}"
-            f" waited_s={answer.ended_s - answer.sent_s:.3f}",
-        )
         return answer
 
     def close(self) -> None:
@@ -395,6 +429,19 @@
     }
 
 
+def make_plain_service(name: str) -> dict[str, object]:
+    """Returns a plain service with the figures of the sheets."""
+    return {
+        "name": name,
+        "health-path": "/health",
+        "max-conns": 110,
+        "protocol": "h1",
+        "tls": False,
+        "cold-start-s": 0.0,
+        "cold-per-s": 0.0,
+    }
+
+
 async def _read_answer(
     answer: Answer,
     reader: asyncio.StreamReader,
