--- a/review/stand_ins/engines.py
+++ b/review/stand_ins/engines.py
@@ -69,6 +69,9 @@
         answer_count: Answers to requests that it has begun.
         run_ids: Ids of the requests that it runs.
         begun_ids: Ids of all requests that it has begun to run.
+        chooses_fault: Called for each run; returns `broken` if the answer is
+            to break off inside its second event, `lost` if the channel is to
+            be reset after the run in place of an answer, or an empty text.
         chooses_unframed: Called with a request for each run; returns whether
             the answer has neither a length nor chunks.
     """
@@ -88,6 +91,7 @@
         self.zone = zone
         self.answer_count = 0
         self.begun_ids: set[str] = set()
+        self.chooses_fault: Callable[[], str] = lambda: ""
         self.chooses_unframed: Callable[[http_messages.Message], bool] = (
             lambda _: False
         )
@@ -130,11 +134,7 @@
         self._server.close()
         self._beat_task.cancel()
         for writer in list(self._writers):
-            # A reset also where nothing is left to be sent.
-            writer.get_extra_info("socket").setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
-            writer.transport.abort()
+            _reset(writer)
         self._store.remove("servers", self.engine_id)
 
     def count_used_tokens(self) -> int:
@@ -317,11 +317,12 @@
         self.answer_count += 1
         self.begun_ids.add(request_id)
         is_unframed = self.chooses_unframed(request)
+        fault = self.chooses_fault()
         self._record(
             "engine",
             self.engine_id,
             f"runs id={request_id} from={first} of={fields['events']}"
-            f" unframed={is_unframed}",
+            f" unframed={is_unframed} fault={fault or 'none'}",
         )
         own["X-Dandelionlead-Response-Signature"] = f"sig-{request_id}"
         own["X-Dandelionlead-Weight-Versions"] = "1"
@@ -332,6 +333,7 @@
                 run,
                 own,
                 is_unframed,
+                fault,
                 first,
                 fields["events"],
                 prompt_s,
@@ -406,6 +408,7 @@
         run: _Run,
         headers: dict[str, str],
         is_unframed: bool,
+        fault: str,
         first: int,
         event_count: int,
         prompt_s: float,
@@ -438,10 +441,18 @@
                 data = b"%x\r\n%s\r\n" % (len(data), data)
             if number == first:
                 data = http_messages.make_head(200, headers) + data
+            elif fault == "broken":
+                writer.write(data[: len(data) // 2])
+                return False
+            if fault == "lost":
+                data = b""
             writer.write(data)
             await writer.drain()
             run.event_count = number
             run.tokens += TOKENS_PER_EVENT
+        if fault == "lost":
+            _reset(writer)
+            raise ConnectionResetError
         if not is_unframed:
             writer.write(b"0\r\n\r\n")
         return True
@@ -452,6 +463,14 @@
     return b"id: %d\ndata: %s-%d\n\n" % (number, request_id.encode(), number)
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a channel by a reset, also where nothing is left to be sent."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
 def _make_json(status: int, fields: dict[str, object]) -> bytes:
     return http_messages.make_response(
         status,
--- a/review/stand_ins/test_bed.py
+++ b/review/stand_ins/test_bed.py
@@ -349,12 +349,15 @@
         directory: Folder of the case, which gets `record.txt`.
         timeout_s: Longest time of the case.
     """
+    # A SIGTERM to the script ends what it has started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     bed = TestBed(directory / "record.txt")
     code = 2
     try:
         has_held = asyncio.run(asyncio.wait_for(case(bed), timeout_s))
         code = 0 if has_held else 1
-    except (CannotRunError, TimeoutError, OSError) as exc:
+    except Exception as exc:  # noqa: BLE001
+        # Whatever fails in the script itself says nothing on the rule.
         bed.record("could not run:", repr(exc))
         print(f"could not run: {exc!r}", file=sys.stderr)
     finally:
