--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,7 +15,7 @@
 
 _ENTRIES = 7
 # Short generations that come before: prompt, output and events.
-_CHECKS = 550
+_CHECKS = 740
 _CHECK = (200, 12, 3)
 # Long generations: prompt, output and events.
 _DRAFTS = 19
