Take a stopped stream for complete only if its engine says so

Cause: a body without a length that ends after the request for the final copy counted as complete unless that request was answered with 200. The engine stops the run first and copies then, so that no response, a late one or 503 leave open whether the run was stopped. Evidence: record of the case, kv-move of the run without a response, then the end of the caller's response. Ruled out: ends inside an event, chunked bodies, copies without a stop.

Change: runs.StopResult with three values; an end that is not known to be the run's own is a broken response, so that the run goes on from its copy. StoppedStreamTest expected a complete stream for a final copy without a response, which is the fault itself; its new table has that status as not complete, and late responses, 503 with and without a handle, 409, 500 and a lost connection.

--- a/libs/gateway/src/dandelionlead/gateway/evacuation.py
+++ b/libs/gateway/src/dandelionlead/gateway/evacuation.py
@@ -48,6 +48,9 @@
 # Repeatable runs are mostly short. They get this time from the leaving notice
 # to end before they are migrated.
 REPEATABLE_RUN_GRACE_S = 0.7
+# Statuses of the response to the request for the final copy: the engine has no
+# such run any more, or another copy of the run is still in progress.
+_NOT_STOPPED_STATUSES = (404, 409)
 _RETRY_PAUSE_S = 0.02
 _FREE_COPY_TIMEOUT_S = 0.5
 # Added to the scheduler's cost of a target in another availability zone, since
@@ -304,9 +307,11 @@
             self.source, request, FINAL_COPY_TIMEOUT_S
         )
         status = 0
+        stop_result = runs.StopResult.UNKNOWN
         if not isinstance(result, errors.Failure):
             status, body = result
             copy = self._codec.decode_copy_response(body)
+            stop_result = _find_stop_result(status, copy)
             if copy is not None:
                 self._set_copy(run, copy)
         stop_took_s = clock.boottime() - requested_s
@@ -315,11 +320,12 @@
             "run_stopped",
             target,
             status=status,
+            result=stop_result.value,
             copies=copy_count,
             stop_ms=int(stop_took_s * 1e3),
             since_notice_ms=int(self._since_notice_s() * 1e3),
         )
-        stop_event.send(status)
+        stop_event.send(stop_result)
 
     def _set_copy(self, run: runs.Run, copy: calls.MemoryCopy) -> None:
         """Sets a run's newest copy unless the run has ended or was resumed."""
@@ -354,3 +360,21 @@
             target=target.endpoint_id if target else "",
             **fields,
         )
+
+
+def _find_stop_result(
+    status: int, copy: calls.MemoryCopy | None
+) -> runs.StopResult:
+    """Returns what the response to the request for the final copy shows.
+
+    Args:
+        status: HTTP status of the response.
+        copy: The copy that the response names; None if it names none. An engine
+            that has stopped the run names its copy even if the other engine
+            had no room for it.
+    """
+    if status == 200 or copy is not None:
+        return runs.StopResult.STOPPED
+    if status in _NOT_STOPPED_STATUSES:
+        return runs.StopResult.NOT_STOPPED
+    return runs.StopResult.UNKNOWN
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -283,18 +283,24 @@
         """Returns why a response that ended is incomplete; None if it is not.
 
         A body that ends with the connection also ends so if the engine breaks
-        it off, or if the final copy for a migration stops the run.
+        it off, or if the final copy for a migration stops the run. Once the
+        final copy was requested, such a body is complete only if the engine
+        states that it did not stop the run.
         """
         failure = self._stream_checks.find_truncation(
             ends_with_connection=ended_response.head.ends_with_connection
         )
         if failure is not None or not ended_response.head.ends_with_connection:
             return failure
-        if self._run.stop_event is not None and self._await_stop():
-            return errors.Failure(
-                errors.Kind.ENDPOINT_FAILED, "the run was stopped to migrate it"
-            )
-        return None
+        if self._run.stop_event is None:
+            return None
+        stop_result = self._await_stop()
+        if stop_result is runs.StopResult.NOT_STOPPED:
+            return None
+        return errors.Failure(
+            errors.Kind.ENDPOINT_FAILED,
+            f"the migration of the run may have stopped it: {stop_result.value}",
+        )
 
     def _start_response(self, head: calls.EndpointResponseHead) -> None:
         """Sends the response head to the caller unless it was sent already.
@@ -492,15 +498,15 @@
         )
         run.is_migration_queued, run.stop_event = False, None
 
-    def _await_stop(self) -> bool:
-        """Waits for the response to the request for the final copy.
+    def _await_stop(self) -> runs.StopResult:
+        """Waits until it is known whether the final copy stopped the run.
 
         Returns:
-            Whether the final copy was made, which stopped the run.
+            The result; `UNKNOWN` also if there is none in time.
         """
         with eventlet.Timeout(_STOP_TIMEOUT_S, False):
-            return self._run.stop_event.wait() == 200
-        return False
+            return self._run.stop_event.wait()
+        return runs.StopResult.UNKNOWN
 
     def _may_resume_again(self) -> bool:
         """Returns whether to try again after a failed resumption."""
--- a/libs/gateway/src/dandelionlead/gateway/runs.py
+++ b/libs/gateway/src/dandelionlead/gateway/runs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING
 
 from dandelionlead.routing import calls
@@ -12,6 +13,22 @@
     import eventlet.event
 
 
+class StopResult(enum.Enum):
+    """What is known of a run after its final copy was requested.
+
+    Attributes:
+        STOPPED: The engine has stopped the run.
+        NOT_STOPPED: The engine states that this request did not stop the run,
+            which therefore ends by itself or had ended before.
+        UNKNOWN: The engine may have stopped the run. There was no response, or
+            one that does not tell.
+    """
+
+    STOPPED = "stopped"
+    NOT_STOPPED = "not_stopped"
+    UNKNOWN = "unknown"
+
+
 class Run:
     """One execution of a call: a generation or a request to a plain service.
 
@@ -31,8 +48,8 @@
             chosen.
         copy_reservation: The copy's share of the load of `copy_target`.
         stop_event: Event that is triggered when the request for the final copy
-            ends; its value is the HTTP status of the response, or 0 if the
-            request failed. None until the final copy is requested.
+            ends; its value is a `StopResult`. None until the final copy is
+            requested.
         resumption_count: Number of attempts to resume the run at an engine.
         is_active: Whether the run is in progress; False once its relay has
             ended.
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -602,23 +602,33 @@
     """Guards against a stream that was stopped for its migration.
 
     A stream that ends with its connection looks complete then, although the
-    rest of it comes from another engine.
+    rest of it comes from another engine. Review case 1: the engine was gone
+    before it responded to the request for the final copy, and the caller got
+    200 of 300 events as a complete answer.
     """
 
-    def test_stream_stopped_by_its_final_copy_is_not_complete(self) -> None:
-        # Status of the final copy (404: the run had ended, 0: no response),
-        # whether the body ends with its connection, whether it is complete.
+    def test_stream_is_complete_only_if_it_was_not_stopped(self) -> None:
+        result = runs.StopResult
+        # What the request for the final copy has shown, seconds until it is
+        # known, whether the body ends with its connection, whether the stream
+        # is complete.
         cases = (
-            (200, True, False),
-            (404, True, True),
-            (0, True, True),
-            (200, False, True),
+            (result.STOPPED, 0.02, True, False),
+            (result.NOT_STOPPED, 0.02, True, True),
+            (result.UNKNOWN, 0.02, True, False),
+            (result.UNKNOWN, 0.0, True, False),
+            (result.STOPPED, 1.2, True, False),
+            (result.NOT_STOPPED, 1.2, True, False),
+            (result.STOPPED, 0.02, False, True),
+            (result.UNKNOWN, 0.02, False, True),
         )
-        for copy_status, ends_with_connection, is_complete in cases:
-            with self.subTest(copy_status, ends=ends_with_connection):
+        for stop_result, delay_s, ends_with_connection, is_complete in cases:
+            with self.subTest(
+                stop_result, delay_s=delay_s, ends=ends_with_connection
+            ):
                 run = self.start_run("e0")
                 run.stop_event = eventlet.event.Event()
-                eventlet.spawn_after(0.02, run.stop_event.send, copy_status)
+                eventlet.spawn_after(delay_s, run.stop_event.send, stop_result)
                 writer = _FakeResponseWriter()
                 outcome = self.relay(
                     run,
@@ -630,6 +640,57 @@
                 self.assertEqual(writer.has_ended, is_complete)
                 self.assertEqual(writer.body, b"id: 1\ndata: a\n\n")
 
+    def test_response_to_the_final_copy_shows_whether_the_run_stopped(
+        self,
+    ) -> None:
+        result = runs.StopResult
+        failure = errors.Failure(errors.Kind.ENDPOINT_FAILED, "gone")
+        cases = (
+            ((200, b"copied"), result.STOPPED),
+            # The engine stopped the run, and has no room for it elsewhere.
+            ((503, b"copied"), result.STOPPED),
+            ((503, b""), result.UNKNOWN),
+            # The run had ended before; another copy of it is in progress.
+            ((404, b""), result.NOT_STOPPED),
+            ((409, b""), result.NOT_STOPPED),
+            ((500, b""), result.UNKNOWN),
+            (failure, result.UNKNOWN),
+        )
+        for response, stop_result in cases:
+            with self.subTest(response=response):
+                self.setUp()
+                responses = [(200, b"copied"), response]
+                self.sender.send_control_request = (
+                    lambda *_, responses=responses: responses.pop(0)
+                )
+                run = self.start_run("e0")
+                self.view.mark_leaving("e0")
+                eventlet.sleep(0.05)
+                self.assertIs(run.stop_event.wait(1.0), stop_result)
+
+    def test_stream_goes_on_from_the_copy_if_its_engine_is_gone(self) -> None:
+        run = self.start_run("e0")
+        run.admitted.deadline_s = clock.boottime() + 5.0
+        run.memory_copy = calls.MemoryCopy("handle")
+        run.copy_target = self.view.endpoints["e1"]
+        run.copy_reservation = self.scheduler.load_tracker.reserve(
+            "e1", run.memory_tokens, 0
+        )
+        run.stop_event = eventlet.event.Event()
+        run.stop_event.send(runs.StopResult.UNKNOWN)
+        rest = b"id: 2\ndata: b\n\n"
+        self.sender.resumed = (0.0, 200, _FakeConn(rest))
+        writer = _FakeResponseWriter()
+        outcome = self.relay(
+            run,
+            writer,
+            _FakeConn(b"id: 1\ndata: a\n\n"),
+            ends_with_connection=True,
+        )
+        self.assertTrue(outcome.is_complete)
+        self.assertEqual(outcome.last_endpoint_id, "e1")
+        self.assertEqual(writer.body, b"id: 1\ndata: a\n\n" + rest)
+
 
 class FailureTest(_SupervisorCase):
     """Guards against a busy loop while all copy requests to an engine fail.
