Log the calls that are open when a process stops

Change: CallProgress tracks a call from its admission to its end (waiting, sent, responding, ended), OpenCalls holds those of a process; open_at_stop and cut_at_stop name each of them. The count of possible runs and the ids that were tried move there from the exchange. No decision changes.

--- /dev/null
+++ b/libs/gateway/src/dandelionlead/gateway/call_progress.py
@@ -0,0 +1,109 @@
+"""Progress of one accepted call: who may have run it, what its caller got."""
+
+from __future__ import annotations
+
+import enum
+
+from dandelionlead.core import clock
+from dandelionlead.core import errors
+from dandelionlead.http import server
+from dandelionlead.routing import calls
+
+
+class Phase(enum.Enum):
+    """How far a call has come.
+
+    Attributes:
+        WAITING: No endpoint has the call, and none may have run it.
+        SENT: An endpoint may run the call or may have run it. The caller has
+            received nothing.
+        RESPONDING: The caller has received a part of the response.
+        ENDED: The caller has received the whole response or has disconnected.
+    """
+
+    WAITING = "waiting"
+    SENT = "sent"
+    RESPONDING = "responding"
+    ENDED = "ended"
+
+
+class CallProgress:
+    """Tracks one call from its admission to its end.
+
+    Attributes:
+        admitted: The call.
+        endpoint_id: Id of the endpoint that was tried last; empty for none.
+        tried_ids: Ids of the endpoints that were tried.
+        possible_run_count: Number of ended attempts that ran the call or may
+            have run it.
+    """
+
+    __slots__ = (
+        "admitted",
+        "endpoint_id",
+        "tried_ids",
+        "possible_run_count",
+        "_response_writer",
+        "_is_in_attempt",
+        "_has_ended",
+    )
+
+    def __init__(
+        self,
+        admitted: calls.AdmittedCall,
+        response_writer: server.ResponseWriter,
+    ) -> None:
+        """Starts to track a call that waits for an endpoint.
+
+        Args:
+            admitted: The call.
+            response_writer: Writes the response to the caller.
+        """
+        self.admitted = admitted
+        self.endpoint_id = ""
+        self.tried_ids: set[str] = set()
+        self.possible_run_count = 0
+        self._response_writer = response_writer
+        self._is_in_attempt = False
+        self._has_ended = False
+
+    @property
+    def phase(self) -> Phase:
+        """Present phase of the call."""
+        if self._has_ended or self._response_writer.has_ended:
+            return Phase.ENDED
+        if self._response_writer.has_started:
+            return Phase.RESPONDING
+        if self._is_in_attempt or self.possible_run_count:
+            return Phase.SENT
+        return Phase.WAITING
+
+    def begin_attempt(self, endpoint_id: str) -> None:
+        """Records that the call is about to be sent to an endpoint."""
+        self._is_in_attempt = True
+        self.endpoint_id = endpoint_id
+        self.tried_ids.add(endpoint_id)
+
+    def end_attempt(self, run_state: errors.RunState) -> None:
+        """Records the end of an attempt.
+
+        Args:
+            run_state: Whether the endpoint ran the call.
+        """
+        self._is_in_attempt = False
+        self.possible_run_count += run_state is not errors.RunState.NOT_RUN
+
+    def end(self) -> None:
+        """Records that the caller gets nothing more."""
+        self._has_ended = True
+
+    def to_log_fields(self) -> dict[str, object]:
+        """Returns the progress as fields of a log line."""
+        age_s = clock.boottime() - self.admitted.call.arrived_s
+        return {
+            "req": self.admitted.call.request_id,
+            "route": self.admitted.route.name,
+            "phase": self.phase.value,
+            "endpoint": self.endpoint_id,
+            "age_ms": int(age_s * 1e3),
+        }
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -12,6 +12,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
+from dandelionlead.gateway import call_progress
 from dandelionlead.gateway import call_reporting
 from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import endpoint_finder
@@ -90,6 +91,10 @@
         deps: Components that all calls share.
         admitted: The call with its route, team and service.
         response_writer: Writes the response to the caller.
+
+    Attributes:
+        progress: Which endpoints may have run the call, and what the caller
+            received.
     """
 
     def __init__(
@@ -98,14 +103,11 @@
         admitted: calls.AdmittedCall,
         response_writer: server.ResponseWriter,
     ) -> None:
+        self.progress = call_progress.CallProgress(admitted, response_writer)
         self._deps = deps
         self._admitted = admitted
         self._call = admitted.call
         self._response_writer = response_writer
-        self._tried_ids: set[str] = set()
-        # Number of attempts that ran the call or may have run it.
-        self._possible_run_count = 0
-        self._last_endpoint_id = ""
         self._failure: errors.Failure | None = None
         self._status = 0
         self._outcome: relay.Outcome | None = None
@@ -166,8 +168,8 @@
                 0.0, outcome.first_event_s - self._call.arrived_s
             )
             fields["first_ms"] = int(first_event_delay_s * 1e3)
-            self._last_endpoint_id = (
-                outcome.last_endpoint_id or self._last_endpoint_id
+            self.progress.endpoint_id = (
+                outcome.last_endpoint_id or self.progress.endpoint_id
             )
             if failure is None and not outcome.is_complete:
                 failure = outcome.failure
@@ -176,8 +178,8 @@
             self._admitted,
             failure,
             self._status,
-            self._last_endpoint_id,
-            tries=len(self._tried_ids),
+            self.progress.endpoint_id,
+            tries=len(self.progress.tried_ids),
             **fields,
         )
 
@@ -210,7 +212,7 @@
             return False
         memory_tokens = self._call.estimate_memory_tokens()
         endpoint = deps.endpoint_finder.find(
-            admitted, memory_tokens, self._tried_ids
+            admitted, memory_tokens, self.progress.tried_ids
         )
         now_s = clock.boottime()
         if endpoint is None:
@@ -220,7 +222,7 @@
         # Further endpoints may have crashed while the call waited for room.
         if self._is_quarantined():
             return False
-        if self._tried_ids and not deps.scheduler.try_consume_retry(
+        if self.progress.tried_ids and not deps.scheduler.try_consume_retry(
             admitted.service.name, now_s
         ):
             return False
@@ -254,8 +256,7 @@
             now_s: Present instant, in seconds.
         """
         deps = self._deps
-        self._tried_ids.add(endpoint.endpoint_id)
-        self._last_endpoint_id = endpoint.endpoint_id
+        self.progress.begin_attempt(endpoint.endpoint_id)
         if memory_tokens:
             deps.log.event(
                 "attempt",
@@ -287,7 +288,10 @@
             self._admitted,
             run.endpoint,
             attempt_timeout.compute_attempt_deadline_s(
-                self._admitted, self._possible_run_count, expected_s, run.sent_s
+                self._admitted,
+                self.progress.possible_run_count,
+                expected_s,
+                run.sent_s,
             ),
             backup_engine=run.backup_engine,
         )
@@ -321,9 +325,7 @@
             )
             self._crashes.record_broken_connection(endpoint)
         self._failure = failure
-        self._possible_run_count += (
-            failure.run_state is not errors.RunState.NOT_RUN
-        )
+        self.progress.end_attempt(failure.run_state)
         took_s = now_s - run.sent_s
         deps.scheduler.record_outcome(
             endpoint, self._admitted.route.name, took_s, failed=True
@@ -346,6 +348,7 @@
         head = response.head
         if not head.states_not_run:
             return False
+        self.progress.end_attempt(errors.RunState.NOT_RUN)
         deps = self._deps
         now_s = clock.boottime()
         endpoint_id = response.endpoint.endpoint_id
@@ -403,7 +406,7 @@
             self._crashes.record_completed()
             return True
         self._failure = outcome.failure
-        self._possible_run_count += 1
+        self.progress.end_attempt(errors.RunState.RAN)
         if (
             outcome.event_count
             and outcome.failure.kind is errors.Kind.ENDPOINT_FAILED
@@ -428,7 +431,7 @@
             admitted.deadline_s, sending.MAX_BODY_BYTES
         )
         now_s = clock.boottime()
-        self._possible_run_count += 1
+        self.progress.end_attempt(errors.RunState.RAN)
         if isinstance(body, errors.Failure):
             deps.scheduler.health_tracker.record_unreachable(endpoint_id, now_s)
             self._failure = body
@@ -466,14 +469,14 @@
         route = admitted.route
         if (
             not route.is_repeatable
-            or self._possible_run_count >= route.max_attempts
+            or self.progress.possible_run_count >= route.max_attempts
         ):
             return False
         if admitted.deadline_s - now_s < route.latency_objective_s / 4:
             return False
         scheduler = self._deps.scheduler
         endpoint = scheduler.choose_endpoint(
-            admitted.service, 0, now_s, excluded_ids=self._tried_ids
+            admitted.service, 0, now_s, excluded_ids=self.progress.tried_ids
         )
         return endpoint is not None
 
@@ -489,7 +492,7 @@
         route = self._admitted.route
         return (
             route.is_repeatable
-            and self._possible_run_count < route.max_attempts
+            and self.progress.possible_run_count < route.max_attempts
         )
 
     def _make_no_endpoint_failure(self) -> errors.Failure:
@@ -527,7 +530,7 @@
                 "the deadline passed before the call was sent to an endpoint",
             )
         if (
-            self._possible_run_count
+            self.progress.possible_run_count
             and failure.run_state is errors.RunState.NOT_RUN
         ):
             return errors.Failure(errors.Kind.ENDPOINT_FAILED, failure.reason)
--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -14,6 +14,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.gateway import exchange
+from dandelionlead.gateway import open_calls
 from dandelionlead.gateway import platform_codec
 from dandelionlead.gateway import serving
 from dandelionlead.http import limits
@@ -30,6 +31,7 @@
         codec: platform_codec.PlatformCodec,
         deps: exchange.Dependencies,
         serving_state: serving.ServingState,
+        calls_in_progress: open_calls.OpenCalls,
         rng: random.Random,
     ) -> None:
         """Creates the handler.
@@ -38,6 +40,7 @@
             codec: Decodes requests of the platform.
             deps: Components that all calls share.
             serving_state: Decides whether this process accepts calls.
+            calls_in_progress: Holds each call while it is served.
             rng: Random numbers for the choice of services by weight.
         """
         self._codec = codec
@@ -46,6 +49,7 @@
         self._log = deps.log
         self._call_reporter = deps.call_reporter
         self._serving_state = serving_state
+        self._open_calls = calls_in_progress
         self._rng = rng
 
     def get_request_limits(self) -> limits.RequestLimits:
@@ -90,7 +94,8 @@
         response_writer.set_write_deadline(admitted.deadline_s + 0.5)
         call_exchange = exchange.Exchange(self._deps, admitted, response_writer)
         try:
-            call_exchange.serve()
+            with self._open_calls.track(call_exchange.progress):
+                call_exchange.serve()
         except server.CallerDisconnectedError:
             raise
         except Exception as exc:  # Each call must get a response.
