Refuse queued calls that a stopping process cannot finish

No engine had got these generations.

Cause: ServingState.can_finish was asked when a call arrived, and never again while it waited for room, before or after SIGTERM. Evidence: record of the case (no engine names the ids), open_at_stop with phase=waiting. Ruled out: signal, listener, engines.

Change: the exchange asks before each attempt and the queue at each turn; what no endpoint may have run is refused at once (503, not run, Retry-After 0.05). True, since the phase of the call is waiting.

--- a/libs/gateway/src/dandelionlead/gateway/endpoint_finder.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_finder.py
@@ -11,6 +11,7 @@
 import eventlet
 
 from dandelionlead.core import clock
+from dandelionlead.gateway import serving
 from dandelionlead.routing import calls
 from dandelionlead.routing import model
 from dandelionlead.routing import scheduling
@@ -24,10 +25,16 @@
 
     Args:
         scheduler: Chooses endpoints.
+        serving_state: Decides which calls may wait while this process stops.
     """
 
-    def __init__(self, scheduler: scheduling.Scheduler) -> None:
+    def __init__(
+        self,
+        scheduler: scheduling.Scheduler,
+        serving_state: serving.ServingState,
+    ) -> None:
         self._scheduler = scheduler
+        self._serving_state = serving_state
         self._queues: dict[str, wait_queue.WaitQueue] = {}
 
     def find(
@@ -47,8 +54,8 @@
             tried_ids: Ids of endpoints that the call was already sent to.
 
         Returns:
-            The endpoint; None if no endpoint can take the call or no engine had
-            room in time.
+            The endpoint; None if no endpoint can take the call, if no engine
+            had room in time, or if this process stops before the call may end.
         """
         service = admitted.service
         if service.engine is None or not self._scheduler.has_open_endpoint(
@@ -82,6 +89,8 @@
         queue.add(entry)
         try:
             while (now_s := clock.boottime()) < entry.reject_at_s:
+                if not self._serving_state.can_finish(admitted, now_s):
+                    return None
                 if queue.is_next(entry, now_s):
                     endpoint = self._choose_endpoint(
                         admitted, memory_tokens, tried_ids, max_fill
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -19,6 +19,7 @@
 from dandelionlead.gateway import relay
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sending
+from dandelionlead.gateway import serving
 from dandelionlead.gateway import supervisor
 from dandelionlead.http import server
 from dandelionlead.routing import attempt_timeout
@@ -46,6 +47,7 @@
         log: Receives one line for each routing decision.
         call_reporter: Writes error responses, and the log line and metrics of
             each finished call.
+        serving_state: Decides which calls this process can finish.
         crash_detector: Checks whether an endpoint crashed after a connection to
             it broke.
         endpoint_finder: Chooses endpoints for calls; queues generations until
@@ -59,6 +61,7 @@
         "view",
         "log",
         "call_reporter",
+        "serving_state",
         "crash_detector",
         "endpoint_finder",
     )
@@ -71,6 +74,7 @@
         view: routing_view.RoutingView,
         log: events.Log,
         call_reporter: call_reporting.CallReporter,
+        serving_state: serving.ServingState,
     ) -> None:
         self.scheduler = scheduler
         self.sender = sender
@@ -78,10 +82,13 @@
         self.view = view
         self.log = log
         self.call_reporter = call_reporter
+        self.serving_state = serving_state
         self.crash_detector = crash_detection.CrashDetector(
             scheduler, view, log
         )
-        self.endpoint_finder = endpoint_finder.EndpointFinder(scheduler)
+        self.endpoint_finder = endpoint_finder.EndpointFinder(
+            scheduler, serving_state
+        )
 
 
 class Exchange:
@@ -188,7 +195,7 @@
         scheduler = self._deps.scheduler
         scheduler.count_request(self._admitted, clock.boottime())
         for _ in range(_MAX_ATTEMPTS):
-            if self._is_quarantined():
+            if self._is_quarantined() or self._is_stopped():
                 return False
             if self._try_next_endpoint():
                 return True
@@ -204,6 +211,22 @@
         self._failure = failure
         return True
 
+    def _is_stopped(self) -> bool:
+        """Records the failure and returns True if the call must be refused.
+
+        That is the case if no endpoint may have run the call and this process
+        stops before the call may end.
+        """
+        if self.progress.phase is not call_progress.Phase.WAITING:
+            return False
+        failure = self._deps.serving_state.find_stop_failure(
+            self._admitted, clock.boottime()
+        )
+        if failure is None:
+            return False
+        self._failure = failure
+        return True
+
     def _try_next_endpoint(self) -> bool:
         """Tries one more endpoint; returns whether a response was completed."""
         deps = self._deps
@@ -216,6 +239,8 @@
         )
         now_s = clock.boottime()
         if endpoint is None:
+            if self._is_stopped():
+                return False
             if self._failure is None:
                 self._failure = self._make_no_endpoint_failure()
             return False
--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -156,10 +156,5 @@
         admitted = calls.AdmittedCall(
             call, route, team, service, configuration.version
         )
-        if not self._serving_state.can_finish(admitted, now_s):
-            return errors.Failure(
-                errors.Kind.NOT_READY,
-                "this process is stopping and may end before the call does",
-                retry_after_s=0.05,
-            )
-        return admitted
+        stop_failure = self._serving_state.find_stop_failure(admitted, now_s)
+        return admitted if stop_failure is None else stop_failure
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -299,7 +299,7 @@
             return None
         return errors.Failure(
             errors.Kind.ENDPOINT_FAILED,
-            f"the migration of the run may have stopped it: {stop_result.value}",
+            f"the run may have been stopped to migrate it: {stop_result.value}",
         )
 
     def _start_response(self, head: calls.EndpointResponseHead) -> None:
--- a/libs/gateway/src/dandelionlead/gateway/serving.py
+++ b/libs/gateway/src/dandelionlead/gateway/serving.py
@@ -12,6 +12,8 @@
 # apply during an outage of the platform that affects all processes, since
 # messages from peers still arrive.
 MAX_UNCONFIRMED_S = 10.0
+# Seconds for `Retry-After` of a call that another process can take at once.
+_STOP_RETRY_AFTER_S = 0.05
 # Upper estimates of the duration of a generation on a crowded engine: the time
 # to the first event as a multiple of the route's latency objective, and seconds
 # for each output token.
@@ -49,6 +51,23 @@
         """
         return _compute_latest_end_s(admitted, now_s) < self.stop_deadline_s
 
+    def find_stop_failure(
+        self, admitted: calls.AdmittedCall, now_s: float
+    ) -> errors.Failure | None:
+        """Returns why this process must not start a call, or None.
+
+        Args:
+            admitted: The call; no endpoint may have run it.
+            now_s: Present instant, in seconds.
+        """
+        if self.can_finish(admitted, now_s):
+            return None
+        return errors.Failure(
+            errors.Kind.NOT_READY,
+            "this process is stopping and may end before the call does",
+            retry_after_s=_STOP_RETRY_AFTER_S,
+        )
+
     def check_serving(
         self, now_s: float, view: routing_view.RoutingView
     ) -> errors.Failure | None:
