Take no generation in a stop whose deadline lies behind its end

Cause: the latest end of a generation was estimated from objective and tokens, which leaves out the queue of a full engine. Evidence: record of the case (the engines queue the ids and begin none of them), the estimate of 3.05 s for them.

Change: the latest end of any call is its deadline. ServingStateTest held the estimate (a generation with 30 s and 40 tokens was accepted 3 s before the end); its rows now state the deadline as the bound, at the same precision.

--- a/libs/gateway/src/dandelionlead/gateway/endpoint_finder.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_finder.py
@@ -89,7 +89,7 @@
         queue.add(entry)
         try:
             while (now_s := clock.boottime()) < entry.reject_at_s:
-                if not self._serving_state.can_finish(admitted, now_s):
+                if not self._serving_state.can_finish(admitted):
                     return None
                 if queue.is_next(entry, now_s):
                     endpoint = self._choose_endpoint(
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -219,9 +219,7 @@
         """
         if self.progress.phase is not call_progress.Phase.WAITING:
             return False
-        failure = self._deps.serving_state.find_stop_failure(
-            self._admitted, clock.boottime()
-        )
+        failure = self._deps.serving_state.find_stop_failure(self._admitted)
         if failure is None:
             return False
         self._failure = failure
--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -156,5 +156,5 @@
         admitted = calls.AdmittedCall(
             call, route, team, service, configuration.version
         )
-        stop_failure = self._serving_state.find_stop_failure(admitted, now_s)
+        stop_failure = self._serving_state.find_stop_failure(admitted)
         return admitted if stop_failure is None else stop_failure
--- a/libs/gateway/src/dandelionlead/gateway/serving.py
+++ b/libs/gateway/src/dandelionlead/gateway/serving.py
@@ -4,7 +4,6 @@
 
 from dandelionlead.core import errors
 from dandelionlead.routing import calls
-from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
 
 # A process that can reach neither the platform nor a peer keeps accepting calls
@@ -14,11 +13,6 @@
 MAX_UNCONFIRMED_S = 10.0
 # Seconds for `Retry-After` of a call that another process can take at once.
 _STOP_RETRY_AFTER_S = 0.05
-# Upper estimates of the duration of a generation on a crowded engine: the time
-# to the first event as a multiple of the route's latency objective, and seconds
-# for each output token.
-_FIRST_EVENT_FACTOR = 1.5
-_SECONDS_PER_TOKEN = 0.02
 
 
 class ServingState:
@@ -38,29 +32,28 @@
         self.stop_deadline_s = float("inf")
         self.is_isolated = False
 
-    def can_finish(self, admitted: calls.AdmittedCall, now_s: float) -> bool:
+    def can_finish(self, admitted: calls.AdmittedCall) -> bool:
         """Returns whether a call ends before this process stops.
 
         A call that is cut off at the end of the process gets no answer, and may
-        have run. Its caller can go to another process at once, so that a call
-        is accepted only if the latest end that it may have is in time.
+        have run. Its caller can go to another process at once. Therefore the
+        latest end that a call may have decides, which is its deadline: even a
+        short generation may wait for a long time in the queue of a full engine.
 
         Args:
             admitted: The call with its route.
-            now_s: Present instant, in seconds.
         """
-        return _compute_latest_end_s(admitted, now_s) < self.stop_deadline_s
+        return admitted.deadline_s < self.stop_deadline_s
 
     def find_stop_failure(
-        self, admitted: calls.AdmittedCall, now_s: float
+        self, admitted: calls.AdmittedCall
     ) -> errors.Failure | None:
         """Returns why this process must not start a call, or None.
 
         Args:
             admitted: The call; no endpoint may have run it.
-            now_s: Present instant, in seconds.
         """
-        if self.can_finish(admitted, now_s):
+        if self.can_finish(admitted):
             return None
         return errors.Failure(
             errors.Kind.NOT_READY,
@@ -104,16 +97,3 @@
         if self.is_stopping or not view.endpoints:
             return False
         return self.check_serving(now_s, view) is None
-
-
-def _compute_latest_end_s(admitted: calls.AdmittedCall, now_s: float) -> float:
-    """Returns the latest instant at which a call ends, in seconds.
-
-    That is its deadline. The deadline of a generation is far beyond what its
-    maximum number of tokens takes, which therefore counts as well.
-    """
-    if admitted.route.kind is not model.CallKind.STREAMING:
-        return admitted.deadline_s
-    longest_s = _FIRST_EVENT_FACTOR * admitted.route.latency_objective_s
-    longest_s += _SECONDS_PER_TOKEN * admitted.call.max_output_tokens
-    return min(admitted.deadline_s, now_s + longest_s)
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -260,11 +260,13 @@
             (plain, 1.1, 0, 106.0, False),
             (plain, 6.9, 0, 100.0, True),
             (plain, 30.0, 0, 100.0, False),
-            (stream, 30.0, 40, 104.0, True),
-            (stream, 30.0, 40, 105.0, False),
+            # A generation with little output may wait in a full engine.
+            (stream, 30.0, 40, 100.0, False),
             (stream, 30.0, 900, 100.0, False),
-            (stream, 30.0, 200, 100.0, True),
-            (stream, 30.0, 200, 104.0, False),
+            (stream, 6.9, 40, 100.0, True),
+            (stream, 6.0, 40, 101.1, False),
+            (stream, 0.9, 40, 106.0, True),
+            (stream, 1.1, 40, 106.0, False),
             (stream, 0.5, 900, 106.0, True),
         )
         for kind, timeout_s, tokens, now_s, is_accepted in cases:
@@ -287,7 +289,7 @@
             )
             with self.subTest(kind=kind, tokens=tokens, now_s=now_s):
                 self.assertEqual(
-                    serving_state.can_finish(admitted, now_s), is_accepted
+                    serving_state.can_finish(admitted), is_accepted
                 )
 
     def test_stopping_process_is_not_ready(self) -> None:
