Answer the calls that an endpoint has when the process ends

Cause: at the end of its wait a stopping process answered what it had just read, but no call that waited for an endpoint; these have no bound but their own deadline, half a minute later.

Beside it: the log line of a generation that failed before its first event has the status that was sent.

--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -16,6 +16,7 @@
 from dandelionlead.gateway import call_reporting
 from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import endpoint_finder
+from dandelionlead.gateway import open_calls
 from dandelionlead.gateway import relay
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sending
@@ -139,7 +140,11 @@
         Raises:
             server.CallerDisconnectedError: The caller closed its connection.
         """
-        is_response_complete = self._try_endpoints()
+        try:
+            is_response_complete = self._try_endpoints()
+        except open_calls.ProcessStoppingError:
+            is_response_complete = False
+            self._failure = self._make_interruption_failure()
         self._is_finished = True
         if is_response_complete:
             self._failure = None
@@ -154,6 +159,7 @@
         else:
             self._failure = self._make_final_failure()
             if not self._response_writer.has_started:
+                self._status = errors.ANSWERS[self._failure.kind].status
                 self._deps.call_reporter.send_error_response(
                     self._response_writer, self._failure, self._call.request_id
                 )
@@ -518,6 +524,15 @@
             and self.progress.possible_run_count < route.max_attempts
         )
 
+    def _make_interruption_failure(self) -> errors.Failure:
+        """Returns the failure for a call without a response at the stop."""
+        if self.progress.phase is call_progress.Phase.WAITING:
+            return self._deps.serving_state.make_stop_failure()
+        return errors.Failure(
+            errors.Kind.OUTCOME_UNKNOWN,
+            "this process ended before the endpoint responded",
+        )
+
     def _make_no_endpoint_failure(self) -> errors.Failure:
         """Returns the failure for a call that no endpoint can take."""
         return errors.Failure(
--- a/libs/gateway/src/dandelionlead/gateway/serving.py
+++ b/libs/gateway/src/dandelionlead/gateway/serving.py
@@ -53,8 +53,10 @@
         Args:
             admitted: The call; no endpoint may have run it.
         """
-        if self.can_finish(admitted):
-            return None
+        return None if self.can_finish(admitted) else self.make_stop_failure()
+
+    def make_stop_failure(self) -> errors.Failure:
+        """Returns the failure of a call that this process must not start."""
         return errors.Failure(
             errors.Kind.NOT_READY,
             "this process is stopping and may end before the call does",
