Move runs off a leaving engine whatever entry they were sent with

Cause: Evacuation._is_at_source compared entries by identity, and each heartbeat of an engine brings a new entry, so that only runs sent between the same two heartbeats as the first queued one were moved. Ruled out: room, turns and time limits (the runs were skipped before any request). The same cause elsewhere: the evacuations were held by id, so that runs at a second start of an engine under its id got the evacuation of the first one. No other comparison by identity was found (searched for "is self" and "endpoint is").

Change: Endpoint.is_same_start; evacuations by incarnation. Both tests of NoticeTest failed before and pass.

--- a/libs/gateway/src/dandelionlead/gateway/evacuation.py
+++ b/libs/gateway/src/dandelionlead/gateway/evacuation.py
@@ -167,7 +167,7 @@
 
     def _is_at_source(self, run: runs.Run) -> bool:
         """Returns whether a run is still active on the source engine."""
-        return run.is_active and run.endpoint is self.source
+        return run.is_active and self.source.is_same_start(run.endpoint)
 
     def _migrate(self, run: runs.Run) -> bool:
         """Copies a run's KV cache repeatedly, then stops it with a final copy.
--- a/libs/gateway/src/dandelionlead/gateway/supervisor.py
+++ b/libs/gateway/src/dandelionlead/gateway/supervisor.py
@@ -52,6 +52,7 @@
         self._view = view
         self._log = log
         self._runs: dict[str, set[runs.Run]] = {}
+        # Evacuations by the incarnation of their engine.
         self._evacuations: dict[str, evacuation.Evacuation] = {}
         view.leaving_listeners.append(self.handle_leaving_notice)
         view.zone_closed_listeners.append(self.handle_zone_closed)
@@ -179,7 +180,7 @@
         """Removes a run's unused copy; requests that its source frees it."""
         copy = run.memory_copy
         run.clear_copy(self._scheduler.load_tracker)
-        engine_evacuation = self._evacuations.get(run.endpoint.endpoint_id)
+        engine_evacuation = self._evacuations.get(run.endpoint.incarnation)
         if copy is not None and engine_evacuation is not None:
             engine_evacuation.free_copy(copy.handle)
 
@@ -236,8 +237,8 @@
 
     def _get_or_create_evacuation(self, run: runs.Run) -> evacuation.Evacuation:
         """Returns the evacuation of a run's engine; creates it if missing."""
-        endpoint_id = run.endpoint.endpoint_id
-        engine_evacuation = self._evacuations.get(endpoint_id)
+        incarnation = run.endpoint.incarnation
+        engine_evacuation = self._evacuations.get(incarnation)
         if engine_evacuation is None:
             engine_evacuation = evacuation.Evacuation(
                 run.endpoint,
@@ -248,7 +249,7 @@
                 self._log,
                 self._schedule_removal,
             )
-            self._evacuations[endpoint_id] = engine_evacuation
+            self._evacuations[incarnation] = engine_evacuation
         return engine_evacuation
 
     def _schedule_removal(
@@ -261,10 +262,11 @@
         eventlet.spawn_after(
             evacuation.FINAL_COPY_TIMEOUT_S,
             self._remove_evacuation,
-            finished_evacuation.source.endpoint_id,
+            finished_evacuation.source,
         )
 
-    def _remove_evacuation(self, endpoint_id: str) -> None:
+    def _remove_evacuation(self, source: model.Endpoint) -> None:
         """Removes an engine's evacuation unless runs are registered there."""
-        if endpoint_id not in self._runs:
-            self._evacuations.pop(endpoint_id, None)
+        engine_runs = self._runs.get(source.endpoint_id, ())
+        if not any(source.is_same_start(run.endpoint) for run in engine_runs):
+            self._evacuations.pop(source.incarnation, None)
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -240,6 +240,36 @@
         self.assertNotEqual(run.copy_target.endpoint_id, "e0")
         self.assertTrue(run.stop_event.ready())
 
+    def test_runs_from_before_and_after_a_new_entry_are_moved(self) -> None:
+        """Each heartbeat of an engine brings a new entry of the same start.
+
+        Only the runs that had been sent between the same two heartbeats as the
+        first queued one were moved; the others were lost with their engine.
+        """
+        migrated_runs = []
+        for _ in range(3):
+            migrated_runs.append(self.start_run("e0"))
+            entry = model.Endpoint("e0", "engines", "10.0.0.1", 0, "a")
+            self.view.set_endpoint(entry)
+        self.view.mark_leaving("e0")
+        eventlet.sleep(0.2)
+        for run in migrated_runs:
+            self.assertIsNotNone(run.stop_event)
+
+    def test_runs_of_a_second_start_are_moved(self) -> None:
+        """An engine may start again under its id, and leave again."""
+        self.start_run("e0")
+        self.view.mark_leaving("e0")
+        eventlet.sleep(0.1)
+        entry = model.Endpoint(
+            "e0", "engines", "10.0.0.1", 0, "a", started_unix_ms=5
+        )
+        self.view.set_endpoint(entry)
+        run = self.start_run("e0")
+        self.view.mark_leaving("e0")
+        eventlet.sleep(0.2)
+        self.assertIsNotNone(run.stop_event)
+
     def test_engines_without_room_are_skipped(self) -> None:
         self.sender.full_ids = {"e1", "e2"}
         run = self.start_run("e0")
--- a/libs/routing/src/dandelionlead/routing/model.py
+++ b/libs/routing/src/dandelionlead/routing/model.py
@@ -272,6 +272,17 @@
         """Identifier of this start, also if the endpoint keeps its id."""
         return f"{self.endpoint_id}@{self.started_unix_ms}"
 
+    def is_same_start(self, other: Endpoint) -> bool:
+        """Whether another entry describes the same start of the endpoint.
+
+        A new entry is read whenever the endpoint renews its heartbeat, so that
+        two entries of one start are not the same object.
+        """
+        return (
+            self.endpoint_id == other.endpoint_id
+            and self.started_unix_ms == other.started_unix_ms
+        )
+
     def differs_for_routing(self, other: Endpoint) -> bool:
         """Whether the address, service, draining state or start time differs.
 
