Use no copy of a run that the relay has given up

Change: the evacuation sets memory_copy only while copy_target is the engine that the copy was made for, and has the copy freed otherwise (copy_given_up); Run says who may write both. LateCopyTest failed before (AttributeError, the second run was not moved) and passes.

--- a/libs/gateway/src/dandelionlead/gateway/evacuation.py
+++ b/libs/gateway/src/dandelionlead/gateway/evacuation.py
@@ -247,8 +247,9 @@
                 status 503, which means that the target has no room.
 
         Returns:
-            Duration in seconds; None if the copy failed, or if the run ended
-            or left the source engine before the response arrived.
+            Duration in seconds; None if the copy failed, or if the run ended,
+            left the source engine or lost its target before the response
+            arrived.
         """
         target = run.copy_target
         started_s = clock.boottime()
@@ -268,6 +269,11 @@
             return None
         status, body = result
         copy = self._codec.decode_copy_response(body)
+        if run.copy_target is not target:
+            self._log_event(run, "copy_given_up", target, status=status)
+            if copy is not None:
+                self._free_copy(copy.handle)
+            return None
         if status == 200 and copy is not None:
             run.memory_copy = copy
             took_s = clock.boottime() - started_s
@@ -329,7 +335,7 @@
 
     def _set_copy(self, run: runs.Run, copy: calls.MemoryCopy) -> None:
         """Sets a run's newest copy unless the run has ended or was resumed."""
-        if self._is_at_source(run):
+        if self._is_at_source(run) and run.copy_target is not None:
             run.memory_copy = copy
 
     def _free_copy(self, handle: str) -> None:
--- a/libs/gateway/src/dandelionlead/gateway/runs.py
+++ b/libs/gateway/src/dandelionlead/gateway/runs.py
@@ -43,9 +43,11 @@
         is_migration_queued: Whether the run is queued for migration by an
             evacuation.
         memory_copy: The newest copy of the run's KV cache that was made for a
-            migration; None if there is no copy.
+            migration; None if there is no copy. Set by the evacuation, and
+            only while `copy_target` is the engine that the copy was made for.
+            Removed by the relay, before it tries to resume the run from it.
         copy_target: The engine that receives the copies; None before it is
-            chosen.
+            chosen. Set by the evacuation, removed together with `memory_copy`.
         copy_reservation: The copy's share of the load of `copy_target`.
         stop_event: Event that is triggered when the request for the final copy
             ends; its value is a `StopResult`. None until the final copy is
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -301,6 +301,41 @@
         self.assertEqual(len(targets), 3)
 
 
+class LateCopyTest(_SupervisorCase):
+    """Guards against a copy that ends after the relay has given it up.
+
+    Order of events: a second copy of a run is in progress; the engine is
+    silent, so that the relay tries to resume the run from the first copy, fails
+    and goes back to the engine. The second copy had no target any more, and the
+    final copy raised, which ended all migrations from that engine.
+    """
+
+    def test_copy_that_was_given_up_is_not_used(self) -> None:
+        requests = []
+
+        def respond(endpoint, request, timeout_s):
+            requests.append(request)
+            if len(requests) == 1:
+                eventlet.sleep(evacuation.FINAL_COPY_THRESHOLD_S + 0.02)
+            elif len(requests) == 2:
+                next(
+                    run for run in migrated_runs if run.copy_target is not None
+                ).clear_copy(self.scheduler.load_tracker)
+            else:
+                eventlet.sleep(0.01)
+            return 200, b"copied"
+
+        self.sender.send_control_request = respond
+        migrated_runs = [self.start_run("e0"), self.start_run("e0")]
+        self.view.mark_leaving("e0")
+        eventlet.sleep(0.5)
+        for run in migrated_runs:
+            self.assertIsNotNone(run.stop_event)
+            self.assertIs(run.stop_event.wait(1.0), runs.StopResult.STOPPED)
+        # The copy that was given up is freed at its source.
+        self.assertIn(("e0", "free", "handle"), requests)
+
+
 class BackupTest(_SupervisorCase):
     """Guards against unusable backups and backups that take room from calls.
 
