Count the engines of a generation in one place, and keep its limit

Cause: the limit on new runs of a resumable stream rose with each engine that broke it off, and left out the attempts of the exchange. Evidence: AttemptLimitTest, four live engines that break off: 3 new runs where 1 is allowed. Ruled out: resumptions from memory, which count as the same run.

Change: CallProgress holds the endpoints that may have run the call; AttemptLimit leaves out those that have ended, leave, started again or take no connection.

--- a/libs/gateway/src/dandelionlead/gateway/call_progress.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_progress.py
@@ -8,6 +8,7 @@
 from dandelionlead.core import errors
 from dandelionlead.http import server
 from dandelionlead.routing import calls
+from dandelionlead.routing import model
 
 
 class Phase(enum.Enum):
@@ -34,17 +35,15 @@
         admitted: The call.
         endpoint_id: Id of the endpoint that was tried last; empty for none.
         tried_ids: Ids of the endpoints that were tried.
-        possible_run_count: Number of ended attempts that ran the call or may
-            have run it.
     """
 
     __slots__ = (
         "admitted",
         "endpoint_id",
         "tried_ids",
-        "possible_run_count",
         "_response_writer",
-        "_is_in_attempt",
+        "_endpoint_in_attempt",
+        "_possible_run_endpoints",
         "_has_ended",
     )
 
@@ -62,9 +61,10 @@
         self.admitted = admitted
         self.endpoint_id = ""
         self.tried_ids: set[str] = set()
-        self.possible_run_count = 0
         self._response_writer = response_writer
-        self._is_in_attempt = False
+        self._endpoint_in_attempt: model.Endpoint | None = None
+        # Endpoints that ran the call or may have run it, by incarnation.
+        self._possible_run_endpoints: dict[str, model.Endpoint] = {}
         self._has_ended = False
 
     @property
@@ -74,15 +74,25 @@
             return Phase.ENDED
         if self._response_writer.has_started:
             return Phase.RESPONDING
-        if self._is_in_attempt or self.possible_run_count:
+        if self._endpoint_in_attempt or self._possible_run_endpoints:
             return Phase.SENT
         return Phase.WAITING
 
-    def begin_attempt(self, endpoint_id: str) -> None:
+    @property
+    def possible_run_endpoints(self) -> list[model.Endpoint]:
+        """Endpoints that ran the call in an ended attempt, or may have."""
+        return list(self._possible_run_endpoints.values())
+
+    @property
+    def possible_run_count(self) -> int:
+        """Number of endpoints that ran the call in an ended attempt, or may."""
+        return len(self._possible_run_endpoints)
+
+    def begin_attempt(self, endpoint: model.Endpoint) -> None:
         """Records that the call is about to be sent to an endpoint."""
-        self._is_in_attempt = True
-        self.endpoint_id = endpoint_id
-        self.tried_ids.add(endpoint_id)
+        self._endpoint_in_attempt = endpoint
+        self.endpoint_id = endpoint.endpoint_id
+        self.tried_ids.add(endpoint.endpoint_id)
 
     def end_attempt(self, run_state: errors.RunState) -> None:
         """Records the end of an attempt.
@@ -90,8 +100,13 @@
         Args:
             run_state: Whether the endpoint ran the call.
         """
-        self._is_in_attempt = False
-        self.possible_run_count += run_state is not errors.RunState.NOT_RUN
+        endpoint, self._endpoint_in_attempt = self._endpoint_in_attempt, None
+        if run_state is not errors.RunState.NOT_RUN:
+            self.record_possible_run(endpoint)
+
+    def record_possible_run(self, endpoint: model.Endpoint) -> None:
+        """Records that an endpoint runs the call or may have run it."""
+        self._possible_run_endpoints[endpoint.incarnation] = endpoint
 
     def end(self) -> None:
         """Records that the caller gets nothing more."""
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -12,6 +12,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
+from dandelionlead.gateway import attempt_limit
 from dandelionlead.gateway import call_progress
 from dandelionlead.gateway import call_reporting
 from dandelionlead.gateway import crash_detection
@@ -112,6 +113,9 @@
         response_writer: server.ResponseWriter,
     ) -> None:
         self.progress = call_progress.CallProgress(admitted, response_writer)
+        self._attempt_limit = attempt_limit.AttemptLimit(
+            self.progress, deps.view
+        )
         self._deps = deps
         self._admitted = admitted
         self._call = admitted.call
@@ -285,7 +289,7 @@
             now_s: Present instant, in seconds.
         """
         deps = self._deps
-        self.progress.begin_attempt(endpoint.endpoint_id)
+        self.progress.begin_attempt(endpoint)
         if memory_tokens:
             deps.log.event(
                 "attempt",
@@ -414,6 +418,8 @@
             run,
             self._response_writer,
             self._crashes,
+            self.progress,
+            self._attempt_limit,
         )
         self._status = response.head.status
         self._outcome = stream_relay.outcome
@@ -519,10 +525,7 @@
         if failure.run_state is errors.RunState.NOT_RUN:
             return True
         route = self._admitted.route
-        return (
-            route.is_repeatable
-            and self.progress.possible_run_count < route.max_attempts
-        )
+        return route.is_repeatable and self._attempt_limit.allows_another()
 
     def _make_interruption_failure(self) -> errors.Failure:
         """Returns the failure for a call without a response at the stop."""
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -12,6 +12,8 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
+from dandelionlead.gateway import attempt_limit
+from dandelionlead.gateway import call_progress
 from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sending
@@ -98,6 +100,8 @@
         run: The generation; its call has been sent to `run.endpoint`.
         response_writer: Writes the response to the caller.
         request_crashes: Receives evidence on whether the call crashes engines.
+        progress: Receives the engines that may have run the call.
+        limit: Limits the engines on which the call may run.
 
     Attributes:
         outcome: Progress of the generation so far.
@@ -112,6 +116,8 @@
         run: runs.Run,
         response_writer: server.ResponseWriter,
         request_crashes: crash_detection.RequestCrashes,
+        progress: call_progress.CallProgress,
+        limit: attempt_limit.AttemptLimit,
     ) -> None:
         self._sender = sender
         self._scheduler = scheduler
@@ -120,6 +126,8 @@
         self._run = run
         self._response_writer = response_writer
         self._request_crashes = request_crashes
+        self._progress = progress
+        self._attempt_limit = limit
         self._stream_checks = stream_checks.StreamChecks(
             run.admitted.call.last_event_id, run.admitted.call.max_output_tokens
         )
@@ -151,6 +159,7 @@
         """
         run = self._run
         run.is_active = True
+        self._progress.record_possible_run(run.endpoint)
         head = response.head
         current_response: sending.EndpointResponse | None = response
         self._run_supervisor.register(run)
@@ -576,9 +585,7 @@
         now_s = clock.boottime()
         if not admitted.route.resumable:
             return None
-        if run.resumption_count + 1 >= admitted.route.max_attempts + len(
-            self._failed_ids
-        ):
+        if not self._attempt_limit.allows_another():
             return None
         target = self._scheduler.choose_endpoint(
             admitted.service,
@@ -633,6 +640,8 @@
             backup_engine=run.backup_engine,
         )
         failure = None
+        if resumption.handle_address is None and _may_have_run(response):
+            self._progress.record_possible_run(target)
         if isinstance(response, errors.Failure):
             failure = response.reason
         elif response.head.status != 200:
@@ -653,3 +662,10 @@
         self._stream_checks.begin_resumed_stream()
         self._run_supervisor.register(run)
         return response
+
+
+def _may_have_run(response: sending.EndpointResponse | errors.Failure) -> bool:
+    """Returns whether an engine may have run the call that it was sent."""
+    if isinstance(response, errors.Failure):
+        return response.run_state is not errors.RunState.NOT_RUN
+    return not response.head.states_not_run
--- a/libs/gateway/tests/test_call_progress.py
+++ b/libs/gateway/tests/test_call_progress.py
@@ -29,6 +29,10 @@
     return call_progress.CallProgress(admitted, writer), writer
 
 
+def _make_endpoint(endpoint_id: str) -> model.Endpoint:
+    return model.Endpoint(endpoint_id, "plain", "10.0.0.1", 80, "z")
+
+
 class PhaseTest(unittest.TestCase):
     """Guards against a call that counts as not run although it may have."""
 
@@ -46,10 +50,10 @@
             with self.subTest(outcomes=outcomes, in_attempt=is_in_attempt):
                 progress, _ = _make_progress()
                 for number, outcome in enumerate(outcomes):
-                    progress.begin_attempt(f"e{number}")
+                    progress.begin_attempt(_make_endpoint(f"e{number}"))
                     progress.end_attempt(outcome)
                 if is_in_attempt:
-                    progress.begin_attempt("last")
+                    progress.begin_attempt(_make_endpoint("last"))
                 self.assertIs(progress.phase, phase)
                 self.assertEqual(
                     progress.possible_run_count,
@@ -58,7 +62,7 @@
 
     def test_phase_follows_the_response(self) -> None:
         progress, writer = _make_progress()
-        progress.begin_attempt("e")
+        progress.begin_attempt(_make_endpoint("e"))
         writer.has_started = True
         self.assertIs(progress.phase, _PHASE.RESPONDING)
         writer.has_ended = True
@@ -66,7 +70,7 @@
 
     def test_call_whose_caller_has_gone_has_ended(self) -> None:
         progress, _ = _make_progress()
-        progress.begin_attempt("e")
+        progress.begin_attempt(_make_endpoint("e"))
         progress.end()
         self.assertIs(progress.phase, _PHASE.ENDED)
 
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -17,6 +17,8 @@
 from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.core import hashing
+from dandelionlead.gateway import attempt_limit
+from dandelionlead.gateway import call_progress
 from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import evacuation
 from dandelionlead.gateway import relay
@@ -526,6 +528,9 @@
 
 
 class _RelayCase(_SupervisorCase):
+    # Ids of engines that accept no connections.
+    unreachable_ids: frozenset[str] = frozenset()
+
     def relay(
         self,
         run: runs.Run,
@@ -536,6 +541,12 @@
     ) -> relay.Outcome:
         """Relays a stream to its end; returns the outcome."""
         log = events.Log("test")
+        progress = call_progress.CallProgress(run.admitted, writer)
+        limit = attempt_limit.AttemptLimit(
+            progress,
+            self.view,
+            lambda endpoint: endpoint.endpoint_id not in self.unreachable_ids,
+        )
         detector = crash_detection.CrashDetector(self.scheduler, self.view, log)
         stream_relay = relay.Relay(
             self.sender,
@@ -547,6 +558,8 @@
             crash_detection.RequestCrashes(
                 detector, self.scheduler, run.admitted
             ),
+            progress,
+            limit,
         )
         head = calls.EndpointResponseHead(
             200, [], ends_with_connection=ends_with_connection
@@ -757,6 +770,82 @@
         self.assertEqual(writer.body, b"id: 1\ndata: a\n\n" + rest)
 
 
+class AttemptLimitTest(_RelayCase):
+    """Guards against a generation that runs on more engines than its route.
+
+    Review case 5: each engine that broke a stream off raised the limit. Load
+    pattern: engines that live break off or lose a few of their answers.
+    """
+
+    ROUTE = model.Route(
+        "checks",
+        "h",
+        "/",
+        model.CallKind.STREAMING,
+        (model.Target("engines", 1.0),),
+        resumable=True,
+        max_attempts=2,
+    )
+
+    def test_stream_runs_on_as_many_engines_as_its_route_allows(self) -> None:
+        # Engines that take no connections, that leave, number of new runs.
+        cases = (
+            ((), (), 1),
+            (("e0",), (), 2),
+            ((), ("e0",), 2),
+            (("e0", "e1", "e2", "e3"), (), 3),
+        )
+        for unreachable_ids, leaving_ids, new_run_count in cases:
+            with self.subTest(unreachable=unreachable_ids, leaving=leaving_ids):
+                self.setUp()
+                self.unreachable_ids = frozenset(unreachable_ids)
+                for endpoint_id in leaving_ids:
+                    self.view.mark_leaving(endpoint_id)
+                targets = []
+
+                def send(admitted, endpoint, *_, targets=targets, **__):
+                    targets.append(endpoint.endpoint_id)
+                    number = len(targets) + 1
+                    event = b"id: %d\ndata: a\n\nid:" % number
+                    head = calls.EndpointResponseHead(200, [])
+                    return sending.EndpointResponse(
+                        endpoint, _FakeConn(event), head
+                    )
+
+                self.sender.send_call = send
+                run = self.start_run("e0", route=self.ROUTE)
+                run.admitted.deadline_s = clock.boottime() + 5.0
+                outcome = self.relay(
+                    run,
+                    _FakeResponseWriter(),
+                    _FakeConn(b"id: 1\ndata: a\n\nid:"),
+                )
+                self.assertFalse(outcome.is_complete)
+                self.assertEqual(len(targets), new_run_count)
+
+    def test_engines_that_rejected_the_call_do_not_count(self) -> None:
+        rejected_ids = []
+
+        def send(admitted, endpoint, *_, **__):
+            is_rejected = len(rejected_ids) < 2
+            rest = b"id: 2\ndata: b\n\n"
+            if is_rejected:
+                rejected_ids.append(endpoint.endpoint_id)
+            head = calls.EndpointResponseHead(
+                503 if is_rejected else 200, [], states_not_run=is_rejected
+            )
+            return sending.EndpointResponse(endpoint, _FakeConn(rest), head)
+
+        self.sender.send_call = send
+        run = self.start_run("e0", route=self.ROUTE)
+        run.admitted.deadline_s = clock.boottime() + 5.0
+        outcome = self.relay(
+            run, _FakeResponseWriter(), _FakeConn(b"id: 1\ndata: a\n\nid:")
+        )
+        self.assertTrue(outcome.is_complete)
+        self.assertEqual(len(rejected_ids), 2)
+
+
 class FailureTest(_SupervisorCase):
     """Guards against a busy loop while all copy requests to an engine fail.
 
