--- a/libs/gateway/src/dandelionlead/gateway/attempt_limit.py
+++ b/libs/gateway/src/dandelionlead/gateway/attempt_limit.py
@@ -1,4 +1,4 @@
-"""Limits the number of endpoints that one call may run on."""
+"""Limits the number of engines that one stream may run on."""
 
 from __future__ import annotations
 
@@ -23,9 +23,10 @@
 
 
 class AttemptLimit:
-    """Compares the endpoints that may have run a call with its route's limit.
+    """Compares the engines that may have run a call with its route's limit.
 
-    Endpoints that have ended, are leaving or cannot be reached do not count.
+    Engines that have ended, are leaving or cannot be reached do not count: a
+    stream that has begun goes on although it has lost them.
 
     Args:
         progress: Holds the endpoints that may have run the call.
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -113,9 +113,6 @@
         response_writer: server.ResponseWriter,
     ) -> None:
         self.progress = call_progress.CallProgress(admitted, response_writer)
-        self._attempt_limit = attempt_limit.AttemptLimit(
-            self.progress, deps.view
-        )
         self._deps = deps
         self._admitted = admitted
         self._call = admitted.call
@@ -419,7 +416,7 @@
             self._response_writer,
             self._crashes,
             self.progress,
-            self._attempt_limit,
+            attempt_limit.AttemptLimit(self.progress, deps.view),
         )
         self._status = response.head.status
         self._outcome = stream_relay.outcome
@@ -525,7 +522,10 @@
         if failure.run_state is errors.RunState.NOT_RUN:
             return True
         route = self._admitted.route
-        return route.is_repeatable and self._attempt_limit.allows_another()
+        return (
+            route.is_repeatable
+            and self.progress.possible_run_count < route.max_attempts
+        )
 
     def _make_interruption_failure(self) -> errors.Failure:
         """Returns the failure for a call without a response at the stop."""
--- a/libs/gateway/src/dandelionlead/gateway/open_calls.py
+++ b/libs/gateway/src/dandelionlead/gateway/open_calls.py
@@ -32,9 +32,6 @@
             call_progress.CallProgress, eventlet.greenthread.GreenThread
         ] = {}
 
-    def __len__(self) -> int:
-        return len(self._calls)
-
     @contextlib.contextmanager
     def track(self, progress: call_progress.CallProgress) -> Iterator[None]:
         """Holds a call while the `with` block runs, which serves the call.
