Soak: stops under full engines, streams without a length, odd entries

New faults: all engines begin no run for 9 s and an entry is stopped meanwhile, with callers that allow 12 s; one in three streams ends with its connection; entries with fields missing, also under the id of a live worker of the other service. New checks: no call without a response at the end of a stop (callers, and cut_at_stop in the logs), no run at a worker of another service. Workers and observations are files of their own; the deadline of a stream may lie behind the grace period.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,11 +12,9 @@
 
 from __future__ import annotations
 
-import contextlib
 import pathlib
 import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -28,15 +26,16 @@
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(_ROOT / "platform" / "tests"))
+sys.path.insert(0, str(_ROOT / "tools"))
 
 import cyclopts  # noqa: E402
 import eventlet  # noqa: E402
-import eventlet.green.socket as green_socket  # noqa: E402
 import fakes  # noqa: E402
 import harness  # noqa: E402
+import soak_observations  # noqa: E402
+import soak_workers  # noqa: E402
 
 from dandelionlead.core import clock  # noqa: E402
-from dandelionlead.http import server  # noqa: E402
 
 _ENTRY_COUNT = 4
 _CALLER_COUNT = 10
@@ -58,10 +57,14 @@
 _RECLAIM_NOTICE_S = 1.5
 # Low, since most requests are rejected while the key is revoked.
 _REVOKE_PROBABILITY = 0.3
-# Statuses of a response which state that the request did not run.
-_NOT_RUN_STATUSES = (408, 421, 429, 503)
-# Number of times that a request may run, by kind of request.
-_MAX_RUNS = {"order": 1, "stock": 2}
+# Times that callers of streams allow; the last one ends after a process that
+# stops. Callers of other requests allow the first one.
+_DEADLINES_MS = (3_000, 3_000, 12_000)
+_ROUTE_TIMEOUT_MS = 12_000
+# Time without an answer, at a process that stops, that counts as a loss.
+_LOSS_SLACK_S = 0.4
+# Seconds for which all engines begin no run in a stop under full engines.
+_FULL_ENGINES_S = 9.0
 # Path of the requests, by kind of request.
 _PATHS = {
     "order": "/order/1",
@@ -71,156 +74,6 @@
 }
 
 
-class FaultProxy:
-    """Forwards TCP connections to a target and injects network faults.
-
-    Args:
-        target: IP address and port to forward to.
-
-    Attributes:
-        address: IP address and port that the proxy listens on.
-        mode: `pass` (forwards), `delay` (forwards late), `refuse` (closes new
-            connections), `silent` (reads bytes and forwards none) or `reset`
-            (closes all connections).
-    """
-
-    def __init__(self, target: tuple[str, int]) -> None:
-        self.address = (harness.next_ip(), target[1])
-        self.mode = "pass"
-        self._target = target
-        self._sock = eventlet.listen(self.address)
-        eventlet.spawn_n(self._accept_connections)
-
-    def _accept_connections(self) -> None:
-        while True:
-            conn, _ = self._sock.accept()
-            if self.mode in ("refuse", "reset"):
-                conn.close()
-                continue
-            try:
-                target_conn = green_socket.create_connection(self._target)
-            except OSError:
-                conn.close()
-                continue
-            eventlet.spawn_n(self._forward_both_ways, conn, target_conn)
-
-    def _forward_both_ways(
-        self,
-        client_sock: green_socket.GreenSocket,
-        target_sock: green_socket.GreenSocket,
-    ) -> None:
-        """Forwards bytes in both directions until both have ended."""
-        backward = eventlet.spawn(self._forward, target_sock, client_sock)
-        self._forward(client_sock, target_sock)
-        backward.wait()
-        client_sock.close()
-        target_sock.close()
-
-    def _forward(
-        self,
-        source: green_socket.GreenSocket,
-        target: green_socket.GreenSocket,
-    ) -> None:
-        """Forwards bytes in one direction and applies the current mode."""
-        is_silent = False
-        try:
-            while data := source.recv(65_536):
-                if self.mode == "reset":
-                    break
-                if self.mode == "delay":
-                    eventlet.sleep(0.2)
-                # After bytes were dropped, later bytes must not be forwarded.
-                is_silent = is_silent or self.mode == "silent"
-                if not is_silent:
-                    target.sendall(data)
-        except OSError:
-            pass  # One of the sockets has failed; both are shut down below.
-        finally:
-            for sock in (source, target):
-                with contextlib.suppress(OSError):
-                    sock.shutdown(socket.SHUT_RDWR)
-
-
-class Observations:
-    """Results of requests, as observed by callers and workers.
-
-    Attributes:
-        violations: One line for each violation of a guarantee.
-        response_counts: Number of responses by kind of request and HTTP status.
-        run_counts: Number of times that each request id reached a worker.
-        not_run_statuses: HTTP status by request id, for each response which
-            states that the request did not run.
-        max_run_counts: Number of times that each request id may reach a worker;
-            contains no requests for streams.
-    """
-
-    def __init__(self) -> None:
-        self.violations: list[str] = []
-        self.response_counts: dict[tuple[str, int], int] = {}
-        self.run_counts: dict[str, int] = {}
-        self.not_run_statuses: dict[str, int] = {}
-        self.max_run_counts: dict[str, int] = {}
-
-    def check_runs(self) -> None:
-        """Records a violation for each request that should not have run.
-
-        These are requests that ran although the status of their response states
-        that they did not, and requests that ran too often.
-        """
-        for request_id, status in self.not_run_statuses.items():
-            if self.run_counts.get(request_id):
-                self.violations.append(f"{request_id} got {status} but ran")
-        for request_id, max_runs in self.max_run_counts.items():
-            run_count = self.run_counts.get(request_id, 0)
-            if run_count > max_runs:
-                self.violations.append(
-                    f"{request_id} ran {run_count} times, limit {max_runs}"
-                )
-
-
-class SoakWorker(fakes.FakeWorker):
-    """A worker behind a proxy; it reports each request to the soak run.
-
-    Attributes:
-        soak: The soak run that the worker belongs to.
-        zone: Availability zone.
-        leaving_since_s: When the worker began to leave, in seconds of
-            `clock.boottime`; infinite while it stays.
-        proxy: The proxy through which entries reach the worker.
-    """
-
-    def __init__(
-        self,
-        soak: Soak,
-        service: str,
-        zone: str,
-        number: int,
-    ) -> None:
-        self.soak = soak
-        self.zone = zone
-        self.leaving_since_s = float("inf")
-        super().__init__((harness.next_ip(), 9000), f"w{number}", service)
-        self.stream_length = _EVENT_COUNT
-        self.proxy = FaultProxy(self.address)
-        fakes.WORKERS_BY_ADDRESS[f"{self.proxy.address[0]}:9000"] = self
-
-    def make_entry(self, state: str = "ready", **fields: object) -> dict:
-        """Returns the value of the worker's row in the table `servers`."""
-        address = f"{self.proxy.address[0]}:9000"
-        proxy_fields = {"address": address, "zone": self.zone}
-        return super().make_entry(state, **(proxy_fields | fields))
-
-    def _send_response(
-        self,
-        request: server.Request,
-        request_id: str,
-        headers: dict[str, str],
-        response_writer: server.ResponseWriter,
-    ) -> None:
-        self.soak.record_arrival(self, request_id)
-        super()._send_response(request, request_id, headers, response_writer)
-
-
 class Soak:
     """One soak run with its entries, workers, callers and faults.
 
@@ -233,20 +86,25 @@
     """
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
-        self.observations = Observations()
+        self.observations = soak_observations.Observations()
         self._rng = random.Random(seed)
         self._folder = folder
         self._store = fakes.FakeStore((harness.next_ip(), 8742))
-        self._store.put_row("op", "config", harness.make_configuration())
+        self._store.put_row("op", "config", _make_configuration(7))
         self._configuration_version = 7
-        self._workers: list[SoakWorker] = []
+        self._workers: list[soak_workers.SoakWorker] = []
         self._entries: dict[str, subprocess.Popen] = {}
-        self._store_proxies: dict[str, FaultProxy] = {}
+        self._store_proxies: dict[str, soak_workers.FaultProxy] = {}
         self._disturbed_until_s = 0.0
         self._zone_closed_at_s: dict[str, float] = {}
         self._key_revoked_at_s = float("inf")
         self._is_sending = True
         self._worker_count = 0
+        # Times of the last SIGTERM to each entry that has not started again,
+        # and of the last end or continuation of each entry that was killed or
+        # suspended; infinite while it is suspended.
+        self._stopped_at_s: dict[str, float] = {}
+        self._broken_at_s: dict[str, float] = {}
 
     def run(self, duration_s: float) -> None:
         """Injects faults, then waits until the system has recovered.
@@ -280,6 +138,7 @@
         self._is_sending = False
         self._terminate_entries()
         self.observations.check_runs()
+        self.observations.check_logs(self._folder)
 
     def kill_entries(self) -> None:
         """Kills the entry processes that are still running."""
@@ -288,7 +147,9 @@
             entry.kill()
             entry.wait()
 
-    def record_arrival(self, worker: SoakWorker, request_id: str) -> None:
+    def record_arrival(
+        self, worker: soak_workers.SoakWorker, request_id: str, target: bytes
+    ) -> None:
         """Records a request that reached a worker.
 
         Checks that the worker may still receive requests: its availability zone
@@ -297,10 +158,9 @@
         Args:
             worker: The worker.
             request_id: Request id of the caller's attempt.
+            target: Target of the request.
         """
-        self.observations.run_counts[request_id] = (
-            self.observations.run_counts.get(request_id, 0) + 1
-        )
+        self.observations.record_run(request_id, target, worker.service)
         now_s = clock.boottime()
         if now_s - self._disturbed_until_s < _SETTLING_S:
             return
@@ -351,23 +211,25 @@
         """
         kind = kind or self._rng.choice(list(_PATHS))
         sent_at_s = clock.boottime()
+        deadline_ms = _DEADLINES_MS[0]
+        if "/stream/" in _PATHS[kind]:
+            deadline_ms = self._rng.choice(_DEADLINES_MS)
         try:
             pending_request = harness.ClientRequest(
-                (host, 8740), _PATHS[kind], body=b"of " + kind.encode()
+                (host, 8740),
+                _PATHS[kind],
+                body=b"of " + kind.encode(),
+                deadline_ms=deadline_ms,
             )
         except ConnectionError:
             return 0
         request_id = pending_request.request_id
-        if kind in _MAX_RUNS:
-            self.observations.max_run_counts[request_id] = _MAX_RUNS[kind]
+        self.observations.limit_runs(kind, request_id)
         response = pending_request.read_response()
-        key = (kind, response.status)
-        self.observations.response_counts[key] = (
-            self.observations.response_counts.get(key, 0) + 1
+        self.observations.record_response(
+            kind, request_id, response, _EVENT_COUNT
         )
-        if response.status in _NOT_RUN_STATUSES:
-            self.observations.not_run_statuses[request_id] = response.status
-        self._check_response(kind, request_id, response)
+        self._check_answer_at_stop(host, request_id, sent_at_s, response)
         is_key_revoked = (
             sent_at_s - self._key_revoked_at_s > _KEY_REVOKE_LIMIT_S
         )
@@ -378,49 +240,52 @@
             )
         return response.status if response.is_complete else 0
 
-    def _check_response(
-        self, kind: str, request_id: str, response: harness.Response
+    def _check_answer_at_stop(
+        self,
+        host: str,
+        request_id: str,
+        sent_at_s: float,
+        response: harness.Response,
     ) -> None:
-        """Checks the body of a response with status 200.
+        """Records a violation if a process that stops gave no answer.
 
-        An incomplete stream must contain the start of the expected bytes; an
-        incomplete body of another kind is not checked.
+        A request that crosses the end of the process unread is not lost, and a
+        process that was killed or suspended meanwhile owes nothing.
         """
-        if response.status != 200:
-            return
-        if kind in _MAX_RUNS:
-            expected_body = b"whole of " + kind.encode()
-            if response.is_complete and response.body != expected_body:
-                self._record_violation(
-                    f"{request_id} got an unexpected body: {response.body!r}"
-                )
-            return
-        expected_stream = b"".join(
-            b"id: %d\ndata: t%d\n\n" % (number, number)
-            for number in range(1, _EVENT_COUNT + 1)
-        )
-        if response.is_complete and response.body != expected_stream:
-            self._record_violation(
-                f"{request_id} got a complete stream of wrong events"
-            )
-        if not expected_stream.startswith(response.body):
+        stopped_at_s = self._stopped_at_s.get(host, float("inf"))
+        waited_s = clock.boottime() - sent_at_s
+        if (
+            not response.status
+            and waited_s > _LOSS_SLACK_S
+            and stopped_at_s < clock.boottime()
+            and self._broken_at_s.get(host, float("-inf")) < sent_at_s
+        ):
             self._record_violation(
-                f"{request_id} got missing, repeated or wrong events"
+                f"{request_id} got no answer from {host} in a stop"
             )
 
     # Workers and entries, and the choice and removal of faults.
 
     def _add_worker(self, service: str, zone: str) -> None:
         self._worker_count += 1
-        worker = SoakWorker(self, service, zone, self._worker_count)
+        worker = soak_workers.SoakWorker(
+            self.record_arrival,
+            service,
+            zone,
+            self._worker_count,
+            _EVENT_COUNT,
+        )
         self._workers.append(worker)
         self._store.put_row("servers", worker.worker_id, worker.make_entry())
 
     def _add_entry(self, host: str = "") -> None:
         if not host:
             host = harness.next_ip()
-            self._store_proxies[host] = FaultProxy(self._store.address)
+            self._store_proxies[host] = soak_workers.FaultProxy(
+                self._store.address
+            )
         store_address = self._store_proxies[host].address
+        self._broken_at_s[host] = clock.boottime()
         self._entries[host] = harness.start_entry_program(
             host, store_address, self._folder
         )
@@ -457,7 +322,7 @@
         """Returns the IP address of a random entry, or None if none runs."""
         return self._rng.choice(list(self._entries) or [None])
 
-    def _choose_worker(self) -> SoakWorker:
+    def _choose_worker(self) -> soak_workers.SoakWorker:
         return self._rng.choice(self._workers)
 
     def _remove_faults(self) -> None:
@@ -491,6 +356,7 @@
         entry = self._entries.pop(host)
         entry.kill()
         entry.wait()
+        self._broken_at_s[host] = float("inf")
         self._mark_disturbed(
             self._schedule_undo(lambda: self._add_entry(host)) + 3.0
         )
@@ -500,15 +366,52 @@
         if host is None or len(self._entries) < 2:
             return
         entry = self._entries.pop(host)
+        self._stopped_at_s[host] = clock.boottime()
         entry.send_signal(signal.SIGTERM)
         self._mark_disturbed(_TERMINATION_TIMEOUT_S)
         eventlet.spawn_n(self._restart_entry, host, entry)
 
+    def _terminate_entry_with_full_engines(self) -> None:
+        """Stops an entry while no engine begins a run for longer than it."""
+        engines = [
+            worker for worker in self._workers if worker.service == "engines"
+        ]
+        for worker in engines:
+            worker.behaviour = "silent"
+
+        def undo() -> None:
+            for worker in engines:
+                if worker.behaviour == "silent":
+                    worker.behaviour = "ok"
+
+        eventlet.spawn_after(_FULL_ENGINES_S, undo)
+        eventlet.spawn_after(1.0, self._terminate_entry)
+
+    def _write_odd_entry(self) -> None:
+        """Writes an entry with fields missing, or restores a worker's one."""
+        worker = self._choose_worker()
+        other_services = {"engines": "plain", "plain": "engines"}
+        entry = worker.make_entry(service=other_services[worker.service])
+        for name in ("version", "slots", "cold-left-ms", "sequence"):
+            del entry[name]
+        key = self._rng.choice((worker.worker_id, "odd"))
+        self._store.put_row("servers", key, entry)
+        self._schedule_undo(lambda: self._restore_entry(worker))
+
+    def _restore_entry(self, worker: soak_workers.SoakWorker) -> None:
+        if worker in self._workers:
+            self._store.put_row(
+                "servers", worker.worker_id, worker.make_entry()
+            )
+
     def _restart_entry(self, host: str, entry: subprocess.Popen) -> None:
         self._wait_for_exit(host, entry)
         if entry.poll() is None:
             entry.kill()
             entry.wait()
+        # Callers that it has cut off have noticed by then.
+        eventlet.sleep(0.1)
+        self._stopped_at_s.pop(host)
         self._add_entry(host)
 
     def _suspend_entry(self) -> None:
@@ -517,7 +420,12 @@
             return
         entry = self._entries[host]
         entry.send_signal(signal.SIGSTOP)
-        continue_entry = lambda: entry.send_signal(signal.SIGCONT)  # noqa: E731
+        self._broken_at_s[host] = float("inf")
+
+        def continue_entry() -> None:
+            entry.send_signal(signal.SIGCONT)
+            self._broken_at_s[host] = clock.boottime()
+
         self._mark_disturbed(self._schedule_undo(continue_entry))
 
     def _disturb_store_connections(self) -> None:
@@ -580,7 +488,7 @@
             _RECLAIM_NOTICE_S, self._remove_reclaimed_worker, worker
         )
 
-    def _remove_reclaimed_worker(self, worker: SoakWorker) -> None:
+    def _remove_reclaimed_worker(self, worker: soak_workers.SoakWorker) -> None:
         worker.proxy.mode = "reset"
         self._store.delete_row("servers", worker.worker_id)
         self._add_worker(worker.service, worker.zone)
@@ -625,7 +533,7 @@
 
     def _put_configuration(self, **fields: object) -> None:
         self._configuration_version += 1
-        configuration = harness.make_configuration(
+        configuration = _make_configuration(
             self._configuration_version, **fields
         )
         self._store.put_row("op", "config", configuration)
@@ -635,6 +543,8 @@
 _FAULTS = (
     Soak._kill_entry,
     Soak._terminate_entry,
+    Soak._terminate_entry_with_full_engines,
+    Soak._write_odd_entry,
     Soak._suspend_entry,
     Soak._disturb_store_connections,
     Soak._make_store_fail,
@@ -650,6 +560,16 @@
     Soak._resend_configuration,
 )
 
+
+def _make_configuration(version: int, **fields: object) -> dict[str, object]:
+    """Returns a configuration whose streams may outlast a planned stop."""
+    configuration = harness.make_configuration(version, **fields)
+    for route in configuration["routes"]:
+        if route["kind"] == "streaming":
+            route["timeout-ms"] = _ROUTE_TIMEOUT_MS
+    return configuration
+
+
 _app = cyclopts.App(name="soak", help=__doc__, version_flags=())
 
 
