--- a/libs/gateway/tests/engine_fakes.py
+++ b/libs/gateway/tests/engine_fakes.py
@@ -70,6 +70,8 @@
         final_copy: What becomes of the request for a final copy, which stops
             the run in any case: `answered`, `refused` (503 with the copy),
             `late` (after the time limit) or `lost` (the engine ends).
+        copy: What becomes of the request for a copy that does not stop the
+            run: `answered`, `refused` (503), or `late` (after the time limit).
         begun_ids: Ids of the calls that it began to run without a copy.
         runs: Its runs, by request id.
     """
@@ -82,6 +84,7 @@
         self.sends_length = True
         self.rejects = False
         self.final_copy = "answered"
+        self.copy = "answered"
         self.begun_ids: list[str] = []
         self.runs: dict[str, EngineRun] = {}
 
@@ -209,7 +212,12 @@
         if run is None or run.is_over or run.is_stopped:
             return 404, b""
         if not stops_source:
+            if engine.copy == "late":
+                eventlet.sleep(timeout_s)
+                return errors.Failure(errors.Kind.ENDPOINT_SILENT, "late")
             eventlet.sleep(_COPY_S)
+            if engine.copy == "refused":
+                return 503, b""
             return (404, b"") if run.is_over else (200, b"copied")
         run.is_stopped = True
         if engine.final_copy == "late":
--- a/libs/gateway/tests/test_call_ends_fuzz.py
+++ b/libs/gateway/tests/test_call_ends_fuzz.py
@@ -10,11 +10,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import unittest
 
 import engine_fakes
 import eventlet
+import eventlet.hubs
 import hypothesis
 import virtual_time
 from hypothesis import stateful
@@ -45,7 +47,7 @@
 # Three prompts of this size fill an engine.
 _PROMPT_TOKENS = 8_000
 _SERVICE = model.Service(
-    "engines", 100, 0.0, model.EngineSpec(8, 30_000, True, False)
+    "engines", 100, 0.0, model.EngineSpec(8, 30_000, True, True)
 )
 _engine_numbers = strategies.integers(0, _ENGINE_COUNT - 1)
 
@@ -80,6 +82,8 @@
         writer: What the caller has received.
         refuse_by_s: Time in seconds by which it must be refused, because the
             process stops; None if it need not be.
+        thread: The green thread that serves it.
+        has_caller: Whether its caller is still connected.
     """
 
     def __init__(
@@ -95,6 +99,8 @@
         self.event_count = event_count
         self.writer = engine_fakes.FakeResponseWriter()
         self.refuse_by_s: float | None = None
+        self.thread: eventlet.greenthread.GreenThread | None = None
+        self.has_caller = True
 
     def make_whole_body(self) -> bytes:
         """Returns the body of the whole answer."""
@@ -208,15 +214,16 @@
         if call.caller_deadline_s >= stop_deadline_s:
             sent_call.refuse_by_s = _HUB.now_s + _PROMPT_S
         self.sent_calls.append(sent_call)
-        thread = eventlet.spawn(self._serve, call, sent_call)
-        self.listener.connections.add(thread)
+        sent_call.thread = eventlet.spawn(self._serve, call, sent_call)
+        self.listener.connections.add(sent_call.thread)
 
     def _serve(self, call: calls.Call, sent_call: _SentCall) -> None:
         request = server.Request(
             call.method, call.target, [], b"", call.arrived_s
         )
         try:
-            self.gateway.handle(request, sent_call.writer)
+            with contextlib.suppress(server.CallerDisconnectedError):
+                self.gateway.handle(request, sent_call.writer)
         finally:
             self.listener.connections.discard(eventlet.getcurrent())
 
@@ -241,20 +248,65 @@
         number=_engine_numbers,
         sends_length=strategies.booleans(),
         rejects=strategies.booleans(),
+        copy=strategies.sampled_from(("answered", "refused", "late")),
         final_copy=strategies.sampled_from(
             ("answered", "refused", "late", "lost")
         ),
     )
     def change_engine(
-        self, number: int, sends_length: bool, rejects: bool, final_copy: str
+        self,
+        number: int,
+        sends_length: bool,
+        rejects: bool,
+        copy: str,
+        final_copy: str,
     ) -> None:
         """An engine behaves in another way from now on."""
         engine = self._get_engine(number)
         if not engine.runs:
             engine.sends_length = sends_length
         engine.rejects = rejects
+        engine.copy = copy
         engine.final_copy = final_copy
 
+    @stateful.rule(number=_engine_numbers)
+    def renew_entry(self, number: int) -> None:
+        """An engine renews its heartbeat, which brings a new entry."""
+        old = self._get_engine(number).endpoint
+        self.view.set_endpoint(
+            model.Endpoint(
+                old.endpoint_id,
+                old.service,
+                old.host,
+                old.port,
+                old.availability_zone,
+                started_unix_ms=old.started_unix_ms,
+            )
+        )
+
+    @stateful.rule(number=strategies.integers(0, 100))
+    def disconnect(self, number: int) -> None:
+        """A caller closes its connection."""
+        waiting = [
+            sent_call
+            for sent_call in self.sent_calls
+            if sent_call.thread in self.listener.connections
+        ]
+        if not waiting:
+            return
+        sent_call = waiting[number % len(waiting)]
+        sent_call.has_caller = False
+        eventlet.hubs.get_hub().schedule_call_global(
+            0, self._throw_disconnect, sent_call.thread
+        )
+        eventlet.sleep(0)
+
+    def _throw_disconnect(
+        self, thread: eventlet.greenthread.GreenThread
+    ) -> None:
+        if thread in self.listener.connections:
+            thread.throw(server.CallerDisconnectedError("gone"))
+
     @stateful.rule(number=_engine_numbers)
     def announce_leaving(self, number: int) -> None:
         """An engine says that it is leaving."""
@@ -294,6 +346,8 @@
 
     def _check_end(self, sent_call: _SentCall) -> None:
         """Asserts that a caller got an end that is true and in time."""
+        if not sent_call.has_caller:
+            return
         writer = sent_call.writer
         begun_count = sum(
             engine.begun_ids.count(sent_call.request_id)
