--- /dev/null
+++ b/tools/soak_faults.py
@@ -0,0 +1,225 @@
+"""The faults of a soak run."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+
+import eventlet
+import soak_system
+import soak_workers
+
+from dandelionlead.core import clock
+
+# Low, since most requests are rejected while the key is revoked.
+_REVOKE_PROBABILITY = 0.3
+# Seconds for which all engines begin no run in a stop under full engines.
+_FULL_ENGINES_S = 9.0
+
+
+class SoakFaults(soak_system.SoakSystem):
+    """Injects random faults into the system."""
+
+    def inject_fault(self) -> None:
+        """Starts one random fault."""
+        self._rng.choice(_FAULTS)(self)
+
+    def _kill_entry(self) -> None:
+        host = self._choose_host()
+        if host is None or len(self._entries) < 2:
+            return
+        entry = self._entries.pop(host)
+        entry.kill()
+        entry.wait()
+        self._broken_at_s[host] = float("inf")
+        self._mark_disturbed(
+            self._schedule_undo(lambda: self._add_entry(host)) + 3.0
+        )
+
+    def _terminate_entry(self) -> None:
+        host = self._choose_host()
+        if host is None or len(self._entries) < 2:
+            return
+        entry = self._entries.pop(host)
+        self._stopped_at_s[host] = clock.boottime()
+        entry.send_signal(signal.SIGTERM)
+        self._mark_disturbed(soak_system.TERMINATION_TIMEOUT_S)
+        eventlet.spawn_n(self._restart_entry, host, entry)
+
+    def _terminate_entry_with_full_engines(self) -> None:
+        """Stops an entry while no engine begins a run for longer than it."""
+        engines = [
+            worker for worker in self._workers if worker.service == "engines"
+        ]
+        for worker in engines:
+            worker.behaviour = "silent"
+
+        def undo() -> None:
+            for worker in engines:
+                if worker.behaviour == "silent":
+                    worker.behaviour = "ok"
+
+        eventlet.spawn_after(_FULL_ENGINES_S, undo)
+        eventlet.spawn_after(1.0, self._terminate_entry)
+
+    def _write_odd_entry(self) -> None:
+        """Writes an entry with fields missing, or restores a worker's one."""
+        worker = self._choose_worker()
+        other_services = {"engines": "plain", "plain": "engines"}
+        entry = worker.make_entry(service=other_services[worker.service])
+        for name in ("version", "slots", "cold-left-ms", "sequence"):
+            del entry[name]
+        key = self._rng.choice((worker.worker_id, "odd"))
+        self._store.put_row("servers", key, entry)
+        self._schedule_undo(lambda: self._restore_entry(worker))
+
+    def _restore_entry(self, worker: soak_workers.SoakWorker) -> None:
+        if worker in self._workers:
+            self._store.put_row(
+                "servers", worker.worker_id, worker.make_entry()
+            )
+
+    def _restart_entry(self, host: str, entry: subprocess.Popen) -> None:
+        self._wait_for_exit(host, entry)
+        if entry.poll() is None:
+            entry.kill()
+            entry.wait()
+        # Callers that it has cut off have noticed by then.
+        eventlet.sleep(0.1)
+        self._stopped_at_s.pop(host)
+        self._add_entry(host)
+
+    def _suspend_entry(self) -> None:
+        host = self._choose_host()
+        if host is None:
+            return
+        entry = self._entries[host]
+        entry.send_signal(signal.SIGSTOP)
+        self._broken_at_s[host] = float("inf")
+
+        def continue_entry() -> None:
+            entry.send_signal(signal.SIGCONT)
+            self._broken_at_s[host] = clock.boottime()
+
+        self._mark_disturbed(self._schedule_undo(continue_entry))
+
+    def _disturb_store_connections(self) -> None:
+        """Disturbs the store connections of one entry or of all entries."""
+        hosts = list(self._store_proxies)
+        chosen_hosts = hosts if self._rng.random() < 0.3 else hosts[:1]
+        self._rng.shuffle(hosts)
+        mode = self._rng.choice(("delay", "refuse", "silent", "reset"))
+        for host in chosen_hosts:
+            self._store_proxies[host].mode = mode
+
+        def undo() -> None:
+            for host in chosen_hosts:
+                self._store_proxies[host].mode = "pass"
+
+        self._mark_disturbed(self._schedule_undo(undo))
+
+    def _make_store_fail(self) -> None:
+        self._store.discard_history_once = True
+        self._store.error_status = self._rng.choice((0, 429, 503))
+
+        def undo() -> None:
+            self._store.error_status = 0
+
+        self._mark_disturbed(self._schedule_undo(undo))
+
+    def _make_worker_misbehave(self) -> None:
+        worker = self._choose_worker()
+        faults = ("cut", "error", "unsigned", "refuse", "other", "slow")
+        worker.behaviour = self._rng.choice(faults)
+
+        def undo() -> None:
+            worker.behaviour = "ok"
+
+        self._schedule_undo(undo)
+
+    def _disturb_worker_connections(self) -> None:
+        worker = self._choose_worker()
+        worker.proxy.mode = self._rng.choice(
+            ("delay", "refuse", "silent", "reset")
+        )
+
+        def undo() -> None:
+            worker.proxy.mode = "pass"
+
+        self._schedule_undo(undo)
+
+    def _reclaim_worker(self) -> None:
+        """Sets a worker to draining; replaces it `RECLAIM_NOTICE_S` later."""
+        worker = self._choose_worker()
+        services = [other.service for other in self._workers]
+        if services.count(worker.service) < 2:
+            return
+        self._workers.remove(worker)
+        worker.leaving_since_s = clock.boottime()
+        self._store.put_row(
+            "servers", worker.worker_id, worker.make_entry("draining")
+        )
+        eventlet.spawn_after(
+            soak_system.RECLAIM_NOTICE_S, self._remove_reclaimed_worker, worker
+        )
+
+    def _remove_reclaimed_worker(self, worker: soak_workers.SoakWorker) -> None:
+        worker.proxy.mode = "reset"
+        self._store.delete_row("servers", worker.worker_id)
+        self._add_worker(worker.service, worker.zone)
+
+    def _crash_worker(self) -> None:
+        """Makes a worker unreachable without notice; deletes its row later."""
+        worker = self._choose_worker()
+        self._workers.remove(worker)
+        worker.proxy.mode = "reset"
+        self._add_worker(worker.service, worker.zone)
+        delete_row = self._store.delete_row
+        eventlet.spawn_after(1.0, delete_row, "servers", worker.worker_id)
+
+    def _close_zone(self) -> None:
+        if self._zone_closed_at_s:
+            return
+        zone = self._rng.choice(soak_system.ZONES)
+        self._zone_closed_at_s[zone] = clock.boottime()
+        self._store.put_row("op", f"evacuate/{zone}", {"zone": zone})
+        eventlet.spawn_after(self._rng.uniform(3.0, 9.0), self._open_zone, zone)
+
+    def _revoke_key(self) -> None:
+        is_selected = self._rng.random() < _REVOKE_PROBABILITY
+        if not is_selected or self._key_revoked_at_s < float("inf"):
+            return
+        self._put_configuration(tenants=[])
+        self._key_revoked_at_s = clock.boottime()
+        eventlet.spawn_after(self._rng.uniform(2.5, 4.0), self._restore_key)
+
+    def _restore_key(self) -> None:
+        self._key_revoked_at_s = float("inf")
+        self._put_configuration()
+
+    def _resend_configuration(self) -> None:
+        """Stores the same configuration with a new version."""
+        if self._key_revoked_at_s == float("inf"):
+            self._put_configuration()
+
+
+# Faults to choose from; those listed twice are chosen twice as often.
+_FAULTS = (
+    SoakFaults._kill_entry,
+    SoakFaults._terminate_entry,
+    SoakFaults._terminate_entry_with_full_engines,
+    SoakFaults._write_odd_entry,
+    SoakFaults._suspend_entry,
+    SoakFaults._disturb_store_connections,
+    SoakFaults._make_store_fail,
+    SoakFaults._make_worker_misbehave,
+    SoakFaults._make_worker_misbehave,
+    SoakFaults._disturb_worker_connections,
+    SoakFaults._disturb_worker_connections,
+    SoakFaults._reclaim_worker,
+    SoakFaults._reclaim_worker,
+    SoakFaults._crash_worker,
+    SoakFaults._close_zone,
+    SoakFaults._revoke_key,
+    SoakFaults._resend_configuration,
+)
--- /dev/null
+++ b/tools/soak_system.py
@@ -0,0 +1,171 @@
+"""The system of a soak run: its entries, workers, store and their state."""
+
+from __future__ import annotations
+
+import abc
+import pathlib
+import random
+import signal
+import subprocess
+from collections.abc import Callable
+
+import eventlet
+import fakes
+import harness
+import soak_observations
+import soak_workers
+
+from dandelionlead.core import clock
+
+EVENT_COUNT = 40
+ZONES = ("z-a", "z-b")
+# Time from the draining state of a reclaimed worker until it is unreachable.
+RECLAIM_NOTICE_S = 1.5
+TERMINATION_TIMEOUT_S = 10.0
+FAULT_DURATION_RANGE_S = (0.3, 3.0)
+_ROUTE_TIMEOUT_MS = 12_000
+
+
+class SoakSystem(abc.ABC):
+    """Starts and ends the parts of the system, and knows their disturbances.
+
+    Args:
+        seed: Seed of the faults, their times and the requests.
+        folder: Directory for the settings and logs of the entries.
+
+    Attributes:
+        observations: Results of requests, and violations of guarantees.
+    """
+
+    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+        self.observations = soak_observations.Observations()
+        self._rng = random.Random(seed)
+        self._folder = folder
+        self._store = fakes.FakeStore((harness.next_ip(), 8742))
+        self._store.put_row("op", "config", _make_configuration(7))
+        self._configuration_version = 7
+        self._workers: list[soak_workers.SoakWorker] = []
+        self._entries: dict[str, subprocess.Popen] = {}
+        self._store_proxies: dict[str, soak_workers.FaultProxy] = {}
+        self._disturbed_until_s = 0.0
+        self._zone_closed_at_s: dict[str, float] = {}
+        self._key_revoked_at_s = float("inf")
+        self._is_sending = True
+        self._worker_count = 0
+        # Times of the last SIGTERM to each entry that has not started again,
+        # and of the last end or continuation of each entry that was killed or
+        # suspended; infinite while it is suspended.
+        self._stopped_at_s: dict[str, float] = {}
+        self._broken_at_s: dict[str, float] = {}
+
+    @abc.abstractmethod
+    def record_arrival(
+        self, worker: soak_workers.SoakWorker, request_id: str, target: bytes
+    ) -> None:
+        """Records a request that reached a worker.
+
+        Args:
+            worker: The worker.
+            request_id: Request id of the caller's attempt.
+            target: Target of the request.
+        """
+
+    def kill_entries(self) -> None:
+        """Kills the entry processes that are still running."""
+        for entry in self._entries.values():
+            entry.send_signal(signal.SIGCONT)
+            entry.kill()
+            entry.wait()
+
+    def _record_violation(self, text: str) -> None:
+        self.observations.violations.append(text)
+
+    def _wait_until(
+        self, condition: Callable[[], bool], timeout_s: float, description: str
+    ) -> None:
+        """Waits for a condition; records a violation at the timeout."""
+        deadline_s = clock.boottime() + timeout_s
+        while not condition():
+            if clock.boottime() > deadline_s:
+                self._record_violation(
+                    f"not within {timeout_s:g} s: {description}"
+                )
+                return
+            eventlet.sleep(0.1)
+
+    def _add_worker(self, service: str, zone: str) -> None:
+        self._worker_count += 1
+        worker = soak_workers.SoakWorker(
+            self.record_arrival,
+            service,
+            zone,
+            self._worker_count,
+            EVENT_COUNT,
+        )
+        self._workers.append(worker)
+        self._store.put_row("servers", worker.worker_id, worker.make_entry())
+
+    def _add_entry(self, host: str = "") -> None:
+        if not host:
+            host = harness.next_ip()
+            self._store_proxies[host] = soak_workers.FaultProxy(
+                self._store.address
+            )
+        store_address = self._store_proxies[host].address
+        self._broken_at_s[host] = clock.boottime()
+        self._entries[host] = harness.start_entry_program(
+            host, store_address, self._folder
+        )
+
+    def _mark_disturbed(self, duration_s: float) -> None:
+        """Suspends the checks of the time limits.
+
+        Args:
+            duration_s: Seconds until the disturbance ends; the checks start
+                again `_SETTLING_S` later.
+        """
+        disturbed_until_s = clock.boottime() + duration_s
+        self._disturbed_until_s = max(
+            self._disturbed_until_s, disturbed_until_s
+        )
+
+    def _schedule_undo(self, undo: Callable[[], None]) -> float:
+        """Undoes a fault after a random time; returns this time in seconds."""
+        duration_s = self._rng.uniform(*FAULT_DURATION_RANGE_S)
+        eventlet.spawn_after(duration_s, undo)
+        return duration_s
+
+    def _choose_host(self) -> str | None:
+        """Returns the IP address of a random entry, or None if none runs."""
+        return self._rng.choice(list(self._entries) or [None])
+
+    def _choose_worker(self) -> soak_workers.SoakWorker:
+        return self._rng.choice(self._workers)
+
+    def _wait_for_exit(self, host: str, entry: subprocess.Popen) -> None:
+        has_exited = lambda: entry.poll() is not None  # noqa: E731
+        self._wait_until(
+            has_exited, TERMINATION_TIMEOUT_S, f"{host} exits after SIGTERM"
+        )
+        if entry.poll() not in (None, 0):
+            self._record_violation(f"{host} exited with code {entry.poll()}")
+
+    def _open_zone(self, zone: str) -> None:
+        if self._zone_closed_at_s.pop(zone, None) is not None:
+            self._store.delete_row("op", f"evacuate/{zone}")
+
+    def _put_configuration(self, **fields: object) -> None:
+        self._configuration_version += 1
+        configuration = _make_configuration(
+            self._configuration_version, **fields
+        )
+        self._store.put_row("op", "config", configuration)
+
+
+def _make_configuration(version: int, **fields: object) -> dict[str, object]:
+    """Returns a configuration whose streams may outlast a planned stop."""
+    configuration = harness.make_configuration(version, **fields)
+    for route in configuration["routes"]:
+        if route["kind"] == "streaming":
+            route["timeout-ms"] = _ROUTE_TIMEOUT_MS
+    return configuration
