Limit what all callers together make a process hold

Cause: each connection buffered up to the largest legal body, on every listener; h11 made an event of each chunk; the accept loop took any number of connections; bodies over the limit were buffered up to the limit first.

Change: one http.intake.Intake for all listeners, with its limits from the memory and the descriptors in the settings. Bytes are counted as they arrive; whoever has held the most for the longest time is closed. Small chunks are merged before the parser, and the parsing of bodies takes at most half of the loop. A declared size over the limit is refused at once. The reading of requests moves out of http.server, and the watcher of disconnects into a module of its own.

--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -139,7 +139,7 @@
         retry is forwarded if no later attempt succeeds.
 
         Raises:
-            server.CallerDisconnectedError: The caller closed its connection.
+            CallerDisconnectedError: The caller closed its connection.
         """
         try:
             is_response_complete = self._try_endpoints()
--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -17,7 +17,9 @@
 from dandelionlead.gateway import open_calls
 from dandelionlead.gateway import platform_codec
 from dandelionlead.gateway import serving
+from dandelionlead.http import disconnect_watcher
 from dandelionlead.http import limits
+from dandelionlead.http import request_reader
 from dandelionlead.http import server
 from dandelionlead.routing import calls
 from dandelionlead.routing import routes
@@ -65,7 +67,9 @@
         return self._serving_state.is_stopping
 
     def handle(
-        self, request: server.Request, response_writer: server.ResponseWriter
+        self,
+        request: request_reader.Request,
+        response_writer: server.ResponseWriter,
     ) -> None:
         """Responds to one request.
 
@@ -74,7 +78,7 @@
             response_writer: Writes the response.
 
         Raises:
-            server.CallerDisconnectedError: The caller closed its connection, or
+            CallerDisconnectedError: The caller closed its connection, or
                 an internal error occurred after the response had been started.
         """
         call = self._codec.decode_call(
@@ -96,7 +100,7 @@
         try:
             with self._open_calls.track(call_exchange.progress):
                 call_exchange.serve()
-        except server.CallerDisconnectedError:
+        except disconnect_watcher.CallerDisconnectedError:
             raise
         except Exception as exc:  # Each call must get a response.
             self._send_internal_error(response_writer, call, exc)
@@ -112,12 +116,12 @@
         """Logs an exception and sends an internal error response.
 
         Raises:
-            server.CallerDisconnectedError: A response had been started.
+            CallerDisconnectedError: A response had been started.
         """
         trace = traceback.format_exc(limit=-4)
         self._log.event("fault", req=call.request_id, reason=trace)
         if response_writer.has_started:
-            raise server.CallerDisconnectedError(
+            raise disconnect_watcher.CallerDisconnectedError(
                 "an internal error truncated the response"
             ) from exc
         failure = errors.Failure(errors.Kind.INTERNAL, repr(exc))
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -136,7 +136,7 @@
             How the generation ended.
 
         Raises:
-            server.CallerDisconnectedError: The caller closed its connection.
+            CallerDisconnectedError: The caller closed its connection.
         """
         run = self._run
         run.is_active = True
--- a/libs/gateway/tests/test_call_ends_fuzz.py
+++ b/libs/gateway/tests/test_call_ends_fuzz.py
@@ -30,8 +30,9 @@
 from dandelionlead.gateway import serving
 from dandelionlead.gateway import shutdown
 from dandelionlead.gateway import supervisor
+from dandelionlead.http import disconnect_watcher
 from dandelionlead.http import limits
-from dandelionlead.http import server
+from dandelionlead.http import request_reader
 from dandelionlead.routing import calls
 from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
@@ -218,11 +219,13 @@
         self.listener.connections.add(sent_call.thread)
 
     def _serve(self, call: calls.Call, sent_call: _SentCall) -> None:
-        request = server.Request(
+        request = request_reader.Request(
             call.method, call.target, [], b"", call.arrived_s
         )
         try:
-            with contextlib.suppress(server.CallerDisconnectedError):
+            with contextlib.suppress(
+                disconnect_watcher.CallerDisconnectedError
+            ):
                 self.gateway.handle(request, sent_call.writer)
         finally:
             self.listener.connections.discard(eventlet.getcurrent())
@@ -305,7 +308,7 @@
         self, thread: eventlet.greenthread.GreenThread
     ) -> None:
         if thread in self.listener.connections:
-            thread.throw(server.CallerDisconnectedError("gone"))
+            thread.throw(disconnect_watcher.CallerDisconnectedError("gone"))
 
     @stateful.rule(number=_engine_numbers)
     def announce_leaving(self, number: int) -> None:
--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -22,6 +22,8 @@
 from dandelionlead.http import link_activity
 
 _RECV_BYTES = 65_536
+# Bodies from this size on are sent apart from the head.
+_LARGE_BODY_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
 # Maximum number of 1xx responses before a response.
 _MAX_INTERIM_RESPONSES = 8
@@ -213,13 +215,16 @@
                 is not ready for another request.
         """
         request = h11.Request(method=method, target=target, headers=headers)
-        data = self._http.send(request) or b""
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b""
+        head = self._http.send(request) or b""
+        data = (self._http.send(h11.Data(data=body)) or b"") if body else b""
         data += self._http.send(h11.EndOfMessage()) or b""
         try:
             self._sock.settimeout(max(0.01, timeout_s))
-            self._sock.sendall(data)
+            if len(data) < _LARGE_BODY_BYTES:
+                self._sock.sendall(head + data)
+            else:  # The body is not copied.
+                self._sock.sendall(head)
+                self._sock.sendall(memoryview(data))
         except TimeoutError:
             return _endpoint_silent(
                 "the request was not sent before the timeout"
--- /dev/null
+++ b/libs/http/src/dandelionlead/http/intake.py
@@ -0,0 +1,352 @@
+"""Limits what the callers of one process together make it hold.
+
+All listeners of a process share one `Intake`. It counts the connections and the
+bytes of requests and responses that connections hold, as they arrive. When a
+limit is reached, it closes the connections that hold the most for the longest
+time, and so makes room for the others.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from dandelionlead.core import clock
+from dandelionlead.http import turn_pacer
+
+# Memory for callers if the settings do not state the memory of the machine.
+_DEFAULT_MEMORY_BYTES = 128 * 1_048_576
+_DEFAULT_MAX_DESCRIPTORS = 4_096
+# Share of the memory that callers may make the process hold.
+_MEMORY_SHARE = 0.25
+# Descriptors that connections to endpoints, the store, peers and files need.
+_RESERVED_DESCRIPTORS = 200
+_DESCRIPTOR_SHARE = 0.5
+# Room for some requests of the largest legal size, on the smallest machine.
+_MIN_LARGEST_REQUESTS = 2
+# Memory of a connection beside what it has received: socket, greenlet, parser.
+CONNECTION_BYTES = 24_576
+# Share of the memory for callers that connections take by themselves before the
+# oldest ones are closed.
+_MAX_CONNECTION_SHARE = 0.5
+# Memory of a header field beside its text.
+FIELD_BYTES = 320
+# Added to the age of a request, so that a new one counts by its size.
+_MIN_AGE_S = 0.1
+
+
+class IntakeFullError(Exception):
+    """Raised if a connection must not hold more bytes; its request ends."""
+
+
+class IntakeCounts:
+    """What an intake refused since the counts were last taken.
+
+    Attributes:
+        refused_connections: Connections that were closed when they came.
+        refused_requests: Requests that were refused for lack of memory.
+        evicted_connections: Connections that were closed to make room.
+    """
+
+    __slots__ = (
+        "refused_connections",
+        "refused_requests",
+        "evicted_connections",
+    )
+
+    def __init__(self) -> None:
+        self.refused_connections = 0
+        self.refused_requests = 0
+        self.evicted_connections = 0
+
+    def is_zero(self) -> bool:
+        """Returns whether nothing was refused."""
+        return not (
+            self.refused_connections
+            or self.refused_requests
+            or self.evicted_connections
+        )
+
+
+class Account:
+    """What one connection holds.
+
+    Attributes:
+        host: IP address of the caller.
+        held_bytes: Bytes that the connection holds, with its own memory.
+        is_evicted: Whether the connection was closed to make room.
+        served_count: Requests of the connection that were read completely.
+    """
+
+    __slots__ = (
+        "host",
+        "held_bytes",
+        "is_evicted",
+        "served_count",
+        "_intake",
+        "_evict",
+        "_waiting_since_s",
+    )
+
+    def __init__(
+        self, intake: Intake, host: str, evict: Callable[[], None]
+    ) -> None:
+        self.host = host
+        self.held_bytes = CONNECTION_BYTES
+        self.is_evicted = False
+        self.served_count = 0
+        self._intake = intake
+        self._evict = evict
+        self._waiting_since_s: float | None = clock.boottime()
+
+    @property
+    def waits_for_caller(self) -> bool:
+        """Whether the connection waits for its caller to send or to read."""
+        return self._waiting_since_s is not None
+
+    def start_waiting(self) -> None:
+        """Records that the connection waits for its caller from now on."""
+        self._waiting_since_s = clock.boottime()
+
+    def stop_waiting(self) -> None:
+        """Records that the process has what it needs from the caller."""
+        self._waiting_since_s = None
+
+    def hold(self, byte_count: int) -> None:
+        """Sets how many bytes the connection holds beside its own memory.
+
+        Raises:
+            IntakeFullError: The connection was evicted, or there is no room
+                for it.
+        """
+        if self.is_evicted:
+            raise IntakeFullError("the connection was closed to make room")
+        self._intake.set_held(self, CONNECTION_BYTES + byte_count)
+
+    def release(self) -> None:
+        """Releases what the connection holds beside its own memory."""
+        if not self.is_evicted:
+            self._intake.set_held(self, CONNECTION_BYTES)
+
+    def start_write(self, byte_count: int) -> None:
+        """Counts a part of a response while the caller has not read it."""
+        if not self.is_evicted:
+            self.start_waiting()
+            self._intake.add_response(self, byte_count)
+
+    def end_write(self, byte_count: int) -> None:
+        """Ends what `start_write` began."""
+        if not self.is_evicted:
+            self.stop_waiting()
+            self._intake.add_response(self, -byte_count)
+
+    def close(self) -> None:
+        """Releases all that the connection holds."""
+        self._intake.close_account(self)
+
+    def evict(self) -> None:
+        """Closes the connection to make room for others."""
+        self.is_evicted = True
+        self._evict()
+
+    def compute_age_s(self, now_s: float) -> float:
+        """Returns for how long the connection has waited for its caller."""
+        if self._waiting_since_s is None:
+            return 0.0
+        return now_s - self._waiting_since_s + _MIN_AGE_S
+
+
+class Intake:
+    """Connections of all callers of one process, and the bytes they hold.
+
+    Attributes:
+        pacer: Spaces the parsing of request bodies.
+        held_bytes: Bytes that all connections hold.
+        counts: What was refused since `take_counts` was last called.
+    """
+
+    __slots__ = (
+        "pacer",
+        "held_bytes",
+        "counts",
+        "_max_bytes",
+        "_max_connections",
+        "_accounts",
+    )
+
+    def __init__(
+        self,
+        memory_bytes: int = _DEFAULT_MEMORY_BYTES,
+        max_descriptors: int = _DEFAULT_MAX_DESCRIPTORS,
+    ) -> None:
+        """Creates an intake without connections.
+
+        Args:
+            memory_bytes: Memory that the process may take.
+            max_descriptors: Descriptors that the process may open.
+        """
+        self.pacer = turn_pacer.TurnPacer()
+        self.held_bytes = 0
+        self.counts = IntakeCounts()
+        self._max_bytes = int(memory_bytes * _MEMORY_SHARE)
+        self._max_connections = max(
+            1,
+            int((max_descriptors - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE),
+        )
+        # Accounts of each caller, by IP address.
+        self._accounts: dict[str, set[Account]] = {}
+
+    @property
+    def connection_count(self) -> int:
+        """Number of connections that are open."""
+        return sum(len(accounts) for accounts in self._accounts.values())
+
+    def allow_request_size(self, max_body_bytes: int) -> None:
+        """Makes sure that requests of the largest legal size have room."""
+        self._max_bytes = max(
+            self._max_bytes, _MIN_LARGEST_REQUESTS * max_body_bytes
+        )
+
+    def open_account(
+        self, host: str, evict: Callable[[], None]
+    ) -> Account | None:
+        """Returns the account of a new connection, or None to refuse it.
+
+        At the limit, a connection that waits for its caller makes room: one of
+        the caller with the most connections.
+
+        Args:
+            host: IP address of the caller.
+            evict: Closes the connection.
+        """
+        is_full = self.connection_count >= self._max_connections
+        if is_full and not self._evict_oldest():
+            self.counts.refused_connections += 1
+            return None
+        account = Account(self, host, evict)
+        self._accounts.setdefault(host, set()).add(account)
+        self.held_bytes += account.held_bytes
+        if self.held_bytes > self._max_bytes:
+            self._make_room(account, CONNECTION_BYTES)
+        return account
+
+    def close_account(self, account: Account) -> None:
+        """Removes an account; one that was removed already is ignored."""
+        accounts = self._accounts.get(account.host)
+        if accounts is None or account not in accounts:
+            return
+        accounts.discard(account)
+        if not accounts:
+            del self._accounts[account.host]
+        self.held_bytes -= account.held_bytes
+
+    def set_held(self, account: Account, byte_count: int) -> None:
+        """Sets how many bytes an account holds.
+
+        If that exceeds the limit, the connections that have held the most for
+        the longest time make room.
+
+        Raises:
+            IntakeFullError: The connection itself is the one to make room, or
+                no other can.
+        """
+        growth = byte_count - account.held_bytes
+        while growth > 0 and self.held_bytes + growth > self._max_bytes:
+            if not self._make_room(account, byte_count):
+                self.counts.refused_requests += 1
+                raise IntakeFullError("callers hold too much memory")
+        self.held_bytes += growth
+        account.held_bytes = byte_count
+
+    def add_response(self, account: Account, byte_count: int) -> None:
+        """Counts bytes of a response that a caller has yet to read.
+
+        The endpoint has already made the response, so that it is not refused;
+        other connections make room for it.
+
+        Args:
+            account: Account of the connection.
+            byte_count: Bytes; negative for bytes that need no memory any more.
+        """
+        self.held_bytes += byte_count
+        account.held_bytes += byte_count
+        while self.held_bytes > self._max_bytes:
+            if not self._make_room(account, account.held_bytes):
+                return
+
+    def take_counts(self) -> IntakeCounts:
+        """Returns what was refused since the last call."""
+        counts = self.counts
+        self.counts = IntakeCounts()
+        return counts
+
+    def _make_room(self, account: Account, byte_count: int) -> bool:
+        """Closes one connection for the growth of another.
+
+        It is the one that has held the most bytes for the longest time. If
+        connections by themselves take most of the memory, it is the oldest one
+        that waits.
+
+        Args:
+            account: The account that grows.
+            byte_count: Bytes that it would hold.
+
+        Returns:
+            Whether a connection was closed; False if the one that grows is the
+            one to make room.
+        """
+        connection_bytes = CONNECTION_BYTES * self.connection_count
+        if connection_bytes > self._max_bytes * _MAX_CONNECTION_SHARE:
+            return self._evict_oldest(account)
+        now_s = clock.boottime()
+        victim = account
+        largest = _weigh(byte_count, account.compute_age_s(now_s))
+        for accounts in self._accounts.values():
+            for other in accounts:
+                weight = _weigh(other.held_bytes, other.compute_age_s(now_s))
+                if weight > largest and other is not account:
+                    victim, largest = other, weight
+        if victim is account:
+            return False
+        self._evict(victim)
+        return True
+
+    def _evict_oldest(self, excluded: Account | None = None) -> bool:
+        """Closes one connection that waits; returns whether there was one.
+
+        It belongs to the caller with the most connections. Connections that
+        have not brought a whole request yet go first.
+        """
+        now_s = clock.boottime()
+        for accounts in sorted(self._accounts.values(), key=len, reverse=True):
+            waiting = [
+                account
+                for account in accounts
+                if account.waits_for_caller and account is not excluded
+            ]
+            if waiting:
+                self._evict(
+                    max(
+                        waiting,
+                        key=lambda account: (
+                            not account.served_count,
+                            account.compute_age_s(now_s),
+                        ),
+                    )
+                )
+                return True
+        return False
+
+    def _evict(self, account: Account) -> None:
+        self.counts.evicted_connections += 1
+        self.close_account(account)
+        account.evict()
+
+
+def _weigh(held_bytes: int, age_s: float) -> float:
+    """Returns the weight by which a connection is chosen to make room.
+
+    Args:
+        held_bytes: Bytes that it holds, with its own memory.
+        age_s: Seconds for which it has waited for its caller; 0 if it does not.
+    """
+    return (held_bytes - CONNECTION_BYTES) * age_s
--- a/libs/http/src/dandelionlead/http/listener.py
+++ b/libs/http/src/dandelionlead/http/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import socket
 
 import eventlet
@@ -10,9 +11,12 @@
 
 from dandelionlead.core import clock
 from dandelionlead.http import client
+from dandelionlead.http import intake
 from dandelionlead.http import server
 
 _BACKLOG = 512
+# Other greenlets run after this many accepted connections.
+_ACCEPTS_PER_TURN = 16
 
 
 class Listener:
@@ -23,6 +27,8 @@
     Args:
         address: IP address and port; port 0 lets the kernel choose one.
         handler: Serves the requests of all connections.
+        callers_intake: Limits what callers make the process hold; shared by the
+            listeners of a process. None for one of its own.
 
     Attributes:
         connections: Connections that are open.
@@ -36,9 +42,13 @@
     """
 
     def __init__(
-        self, address: tuple[str, int], handler: server.Handler
+        self,
+        address: tuple[str, int],
+        handler: server.Handler,
+        callers_intake: intake.Intake | None = None,
     ) -> None:
         self._handler = handler
+        self._intake = callers_intake or intake.Intake()
         self._sock = open_listening_socket(address)
         self.connections: set[server.ServerConnection] = set()
         self.accepted_count = 0
@@ -53,7 +63,7 @@
         """Accepts connections until the listening socket is closed."""
         while True:
             try:
-                sock, _ = self._sock.accept()
+                sock, (host, _) = self._sock.accept()
             except OSError:
                 if self._sock.fileno() < 0:
                     return
@@ -62,7 +72,9 @@
                 continue
             self.accepted_count += 1
             self.last_request_s = clock.boottime()
-            eventlet.spawn_n(self._serve, sock)
+            self._open_connection(sock, host)
+            if self.accepted_count % _ACCEPTS_PER_TURN == 0:
+                eventlet.sleep(0)
 
     def close_idle_connections(self) -> None:
         """Shuts down the connections that have no request in progress."""
@@ -86,17 +98,48 @@
         """Closes the listening socket; open connections are still served."""
         self._sock.close()
 
-    def _serve(self, sock: green_socket.GreenSocket) -> None:
+    def _open_connection(
+        self, sock: green_socket.GreenSocket, host: str
+    ) -> None:
+        """Serves a connection in a greenlet, or closes it if there is no room.
+
+        Args:
+            sock: The accepted socket.
+            host: IP address of the caller.
+        """
+        self._intake.allow_request_size(
+            self._handler.get_request_limits().max_body_bytes
+        )
+        account = self._intake.open_account(
+            host, functools.partial(_shut_down, sock)
+        )
+        if account is None:
+            sock.close()
+            return
+        eventlet.spawn_n(self._serve, sock, account)
+
+    def _serve(
+        self, sock: green_socket.GreenSocket, account: intake.Account
+    ) -> None:
         with contextlib.suppress(OSError):
             client.set_socket_options(sock)
-        conn = server.ServerConnection(sock, self._handler)
+        conn = server.ServerConnection(
+            sock, self._handler, account, self._intake.pacer
+        )
         self.connections.add(conn)
         try:
             conn.run()
         finally:
+            account.close()
             self.connections.discard(conn)
 
 
+def _shut_down(sock: green_socket.GreenSocket) -> None:
+    """Shuts a socket down, which wakes the greenlet that waits for it."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
 def open_listening_socket(address: tuple[str, int]) -> green_socket.GreenSocket:
     """Opens a listening TCP socket.
 
--- /dev/null
+++ b/libs/http/src/dandelionlead/http/request_reader.py
@@ -0,0 +1,373 @@
+"""Reads the requests of one connection, one after another.
+
+The head and a body of declared length are split from what follows before they
+reach the parser, so that the parser never holds bytes of a later request. What
+is held is counted in the account of the connection as it arrives.
+"""
+
+from __future__ import annotations
+
+import re
+
+import eventlet.green.socket as green_socket
+import h11
+
+from dandelionlead.core import clock
+from dandelionlead.http import body_buffer
+from dandelionlead.http import chunk_merging
+from dandelionlead.http import client
+from dandelionlead.http import intake
+from dandelionlead.http import limits
+from dandelionlead.http import turn_pacer
+
+RECV_BYTES = 65_536
+# Smaller reads bound the time of a turn in which many small chunks are merged.
+_CHUNKED_RECV_BYTES = 16_384
+# Events of a body that are taken from the parser in one turn.
+_EVENTS_PER_TURN = 100
+_HEAD_END = re.compile(rb"\n\r?\n")
+
+
+class Request:
+    """One HTTP request, read completely.
+
+    Attributes:
+        method: HTTP method.
+        target: Request target (path and query), not decoded.
+        headers: Header names as the caller wrote them, with their values.
+        body: The whole body, without chunked encoding; empty if there is none.
+        arrived_s: When the head of the request was complete, in seconds of
+            `clock.boottime`.
+    """
+
+    __slots__ = ("method", "target", "headers", "body", "arrived_s")
+
+    def __init__(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: client.Headers,
+        body: bytes,
+        arrived_s: float,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.arrived_s = arrived_s
+
+
+class RequestReader:
+    """Reads requests from one connection.
+
+    Args:
+        sock: Socket of the connection.
+        http: Parser of the connection, on the side of the server.
+        account: Counts what the connection holds.
+        pacer: Spaces the parsing of bodies.
+
+    Attributes:
+        is_idle: Whether no byte of a further request has arrived.
+        method: HTTP method of the current or last request; empty before the
+            first one.
+    """
+
+    __slots__ = (
+        "is_idle",
+        "method",
+        "_sock",
+        "_http",
+        "_account",
+        "_pacer",
+        "_unread",
+        "_unparsed_bytes",
+    )
+
+    def __init__(
+        self,
+        sock: green_socket.GreenSocket,
+        http: h11.Connection,
+        account: intake.Account,
+        pacer: turn_pacer.TurnPacer,
+    ) -> None:
+        self.is_idle = True
+        self.method = b""
+        self._sock = sock
+        self._http = http
+        self._account = account
+        self._pacer = pacer
+        # Bytes that have arrived and were not passed to the parser yet.
+        self._unread = b""
+        # Bytes that the parser holds at most.
+        self._unparsed_bytes = 0
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes of a further request have already been received."""
+        return bool(self._unread)
+
+    def read_head(self, request_limits: limits.RequestLimits) -> Request | None:
+        """Reads the head of a request.
+
+        Returns:
+            The request without its body; None if the caller closes first.
+
+        Raises:
+            TimeoutError: The head was not complete in time.
+            OSError: The connection failed.
+            intake.IntakeFullError: There is no room for the request.
+            h11.RemoteProtocolError: The bytes are not a valid request.
+        """
+        self.is_idle = not self._unread
+        self._account.hold(len(self._unread))
+        event = self._read_head_event(request_limits)
+        if not isinstance(event, h11.Request):
+            return None
+        self.is_idle = False
+        self.method = bytes(event.method)
+        headers = [(bytes(k), bytes(v)) for k, v in event.headers.raw_items()]
+        _check_framing(headers)
+        _check_size(headers, request_limits.max_header_bytes)
+        _check_length(event, request_limits.max_body_bytes)
+        self._unparsed_bytes = 0
+        return Request(
+            self.method, bytes(event.target), headers, b"", clock.boottime()
+        )
+
+    def read_body(
+        self,
+        request: Request,
+        request_limits: limits.RequestLimits,
+        *,
+        must_keep: bool,
+    ) -> None:
+        """Reads the whole body of a request.
+
+        Args:
+            request: The request whose head was read last; gets the body.
+            request_limits: Limits on the request.
+            must_keep: Whether the body is needed; it is discarded if not.
+
+        Raises:
+            TimeoutError: A part of the body was not complete in time.
+            OSError: The connection failed.
+            intake.IntakeFullError: There is no room for the request.
+            h11.RemoteProtocolError: The bytes are not a valid request.
+        """
+        head_bytes = _estimate_head_bytes(request)
+        source = _make_body_source(request)
+        body = body_buffer.BodyBuffer()
+        size = 0
+        event_count = 0
+        has_waited = False
+        turn_started_s = clock.boottime()
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                _check_body_size(size, request_limits.max_body_bytes)
+                if must_keep:
+                    body.append(event.data)
+                event_count += 1
+                if event_count % _EVENTS_PER_TURN:
+                    continue
+            elif event is h11.NEED_DATA:
+                self._account.hold(head_bytes + body.size + len(self._unread))
+                if has_waited:
+                    self._pacer.end_turn(turn_started_s)
+                has_waited = True
+                data = self._receive_body(request_limits, source)
+                turn_started_s = clock.boottime()
+                self._pass_body_bytes(source, data)
+                continue
+            else:
+                raise h11.RemoteProtocolError("the request body is incomplete")
+            self._pacer.end_turn(turn_started_s)
+            turn_started_s = clock.boottime()
+        self._account.hold(head_bytes + body.size + len(self._unread))
+        request.body = body.take()
+
+    def _read_head_event(
+        self, request_limits: limits.RequestLimits
+    ) -> h11.Event:
+        """Reads until the parser has the head of a request.
+
+        The first byte may take the idle timeout; from then on the head must be
+        complete within the header timeout.
+        """
+        timeout_s = (
+            request_limits.idle_timeout_s
+            if self.is_idle
+            else request_limits.header_timeout_s
+        )
+        deadline_s = clock.boottime() + timeout_s
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = self._receive(deadline_s, RECV_BYTES)
+            if data and self.is_idle:
+                self.is_idle = False
+                deadline_s = clock.boottime() + request_limits.header_timeout_s
+            match = _HEAD_END.search(data)
+            head_end = match.end() if match else len(data)
+            self._unread = data[head_end:]
+            self._unparsed_bytes += head_end
+            self._account.hold(self._unparsed_bytes + len(self._unread))
+            self._http.receive_data(data[:head_end])
+
+    def _pass_body_bytes(self, source: _BodySource, data: bytes) -> None:
+        """Passes bytes of the body to the parser; none mean the end."""
+        body_data = source.feed(data)
+        self._unread += source.take_rest()
+        # An incomplete size line of a chunk is held back; for the parser, no
+        # bytes would mean that the caller has closed the connection.
+        if body_data or not data:
+            self._http.receive_data(body_data)
+
+    def _receive_body(
+        self, request_limits: limits.RequestLimits, source: _BodySource
+    ) -> bytes:
+        """Returns the next bytes after the head; empty at the end."""
+        deadline_s = clock.boottime() + request_limits.header_timeout_s
+        return self._receive(deadline_s, source.recv_bytes)
+
+    def _receive(self, deadline_s: float, byte_count: int) -> bytes:
+        """Returns bytes that were held back, or else new ones.
+
+        Raises:
+            TimeoutError: Nothing arrived before the deadline.
+            OSError: The connection failed.
+        """
+        if self._unread:
+            data, self._unread = self._unread, b""
+            return data
+        remaining_s = deadline_s - clock.boottime()
+        if remaining_s <= 0:
+            raise TimeoutError
+        self._sock.settimeout(remaining_s)
+        return self._sock.recv(byte_count)
+
+
+class _BodySource:
+    """Splits a body of declared length from what follows it.
+
+    Attributes:
+        recv_bytes: Largest number of bytes to receive at once.
+    """
+
+    __slots__ = ("recv_bytes", "_left_bytes", "_rest")
+
+    def __init__(self, length: int) -> None:
+        self.recv_bytes = RECV_BYTES
+        self._left_bytes = length
+        self._rest = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes for the parser."""
+        part, self._rest = data[: self._left_bytes], data[self._left_bytes :]
+        self._left_bytes -= len(part)
+        return part
+
+    def take_rest(self) -> bytes:
+        """Returns the bytes that follow the end of the body."""
+        rest, self._rest = self._rest, b""
+        return rest
+
+
+class _ChunkedBodySource(_BodySource):
+    """Merges the chunks of a body."""
+
+    __slots__ = ("_merger",)
+
+    def __init__(self) -> None:
+        super().__init__(0)
+        self.recv_bytes = _CHUNKED_RECV_BYTES
+        self._merger = chunk_merging.ChunkMerger()
+
+    def feed(self, data: bytes) -> bytes:
+        """Returns the bytes for the parser."""
+        return self._merger.feed(data)
+
+    def take_rest(self) -> bytes:
+        """Returns the bytes that follow the end of the body."""
+        rest, self._merger.rest = self._merger.rest, b""
+        return rest
+
+
+def _make_body_source(request: Request) -> _BodySource:
+    """Returns what splits the body of a request from what follows it."""
+    for name, value in request.headers:
+        key = name.lower()
+        if key == b"transfer-encoding":
+            return _ChunkedBodySource()
+        if key == b"content-length":
+            return _BodySource(int(value))
+    return _BodySource(0)
+
+
+def _estimate_head_bytes(request: Request) -> int:
+    """Returns the memory that the head of a request takes, in bytes."""
+    text_bytes = sum(len(name) + len(value) for name, value in request.headers)
+    return text_bytes + intake.FIELD_BYTES * len(request.headers)
+
+
+def _check_length(event: h11.Request, max_bytes: int) -> None:
+    """Checks that a request does not declare a body above the size limit.
+
+    Raises:
+        h11.RemoteProtocolError: The declared length is larger than `max_bytes`.
+    """
+    for name, value in event.headers:
+        if name == b"content-length":
+            _check_body_size(int(value), max_bytes)
+
+
+def _check_body_size(size: int, max_bytes: int) -> None:
+    """Checks that a body does not exceed the size limit.
+
+    Raises:
+        h11.RemoteProtocolError: The size is larger than `max_bytes`.
+    """
+    if size > max_bytes:
+        raise h11.RemoteProtocolError(
+            "the request body exceeds the size limit", error_status_hint=413
+        )
+
+
+def _check_framing(headers: client.Headers) -> None:
+    """Checks that HTTP parsers cannot find different ends of a request.
+
+    Raises:
+        h11.RemoteProtocolError: The headers give the length of the body or the
+            host more than once.
+    """
+    names = [name.lower() for name, _ in headers]
+    transfer_encoding_count = names.count(b"transfer-encoding")
+    if transfer_encoding_count > 1 or (
+        transfer_encoding_count and b"content-length" in names
+    ):
+        raise h11.RemoteProtocolError(
+            "the request gives the length of its body in two ways"
+        )
+    if names.count(b"content-length") > 1 or names.count(b"host") > 1:
+        raise h11.RemoteProtocolError(
+            "Content-Length or Host occurs more than once"
+        )
+
+
+def _check_size(headers: client.Headers, max_bytes: int) -> None:
+    """Checks that a request head does not exceed the size limit.
+
+    h11 enforces its limit only on a head that arrives in several reads.
+
+    Raises:
+        h11.RemoteProtocolError: The head is larger than `max_bytes`.
+    """
+    size = sum(len(name) + len(value) + 4 for name, value in headers)
+    if size > max_bytes:
+        raise h11.RemoteProtocolError(
+            "the request head exceeds the size limit", error_status_hint=431
+        )
--- a/libs/http/src/dandelionlead/http/server.py
+++ b/libs/http/src/dandelionlead/http/server.py
@@ -14,61 +14,37 @@
 import json
 import socket
 
+import eventlet
 import eventlet.green.socket as green_socket
-import eventlet.hubs
-import greenlet
 import h11
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.http import client
+from dandelionlead.http import disconnect_watcher
+from dandelionlead.http import intake
 from dandelionlead.http import limits
+from dandelionlead.http import request_reader
+from dandelionlead.http import turn_pacer
 
-_RECV_BYTES = 65_536
 # Seconds for writing the response to an invalid request, and again for reading
 # what the caller still sends afterwards. Closing a socket with unread bytes
 # would reset the connection, and the caller could lose the response.
 _REJECTION_TIMEOUT_S = 1.0
-
-
-class CallerDisconnectedError(Exception):
-    """Raised in the greenlet of a request whose caller has disconnected."""
-
-
-class Request:
-    """One HTTP request, read completely.
-
-    Attributes:
-        method: HTTP method.
-        target: Request target (path and query), not decoded.
-        headers: Header names as the caller wrote them, with their values.
-        body: The whole body, without chunked encoding; empty if there is none.
-        arrived_s: When the head of the request was complete, in seconds of
-            `clock.boottime`.
-    """
-
-    __slots__ = ("method", "target", "headers", "body", "arrived_s")
-
-    def __init__(
-        self,
-        method: bytes,
-        target: bytes,
-        headers: client.Headers,
-        body: bytes,
-        arrived_s: float,
-    ) -> None:
-        self.method = method
-        self.target = target
-        self.headers = headers
-        self.body = body
-        self.arrived_s = arrived_s
+# Seconds for `Retry-After` if callers hold too much memory: their requests end
+# or are refused within this time.
+_RETRY_AFTER_S = 1.0
+# Parts of a response from this size on are counted until they are written.
+_LARGE_WRITE_BYTES = 65_536
 
 
 class Handler(abc.ABC):
     """Interface of an application that serves requests."""
 
     @abc.abstractmethod
-    def handle(self, request: Request, response_writer: ResponseWriter) -> None:
+    def handle(
+        self, request: request_reader.Request, response_writer: ResponseWriter
+    ) -> None:
         """Serves one request.
 
         `CallerDisconnectedError` is raised inside this method if the caller
@@ -88,6 +64,15 @@
     def is_closing(self) -> bool:
         """Returns whether connections close after their current request."""
 
+    def needs_body(self, request: request_reader.Request) -> bool:
+        """Returns whether the body of a request is kept for `handle`.
+
+        Args:
+            request: The request, whose body has not been read yet.
+        """
+        del request
+        return True
+
 
 class ResponseWriter:
     """Writes the response to one request.
@@ -192,34 +177,56 @@
     Args:
         sock: The accepted socket; the connection closes it.
         handler: Serves the requests of the connection.
+        account: Counts what the connection holds.
+        pacer: Spaces the parsing of bodies.
 
     Attributes:
-        is_idle: Whether no request is being read or served.
-        method: HTTP method of the current or last request; empty before the
-            first one.
         write_deadline_s: Deadline of writes, in seconds of `clock.boottime`.
     """
 
     def __init__(
-        self, sock: green_socket.GreenSocket, handler: Handler
+        self,
+        sock: green_socket.GreenSocket,
+        handler: Handler,
+        account: intake.Account,
+        pacer: turn_pacer.TurnPacer,
     ) -> None:
         self._sock = sock
         self._handler = handler
+        self._account = account
         request_limits = handler.get_request_limits()
         self._http = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=request_limits.max_header_bytes,
         )
-        self.is_idle = True
-        self.method = b""
+        self._reader = request_reader.RequestReader(
+            sock, self._http, account, pacer
+        )
         self.write_deadline_s = 0.0
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read or served."""
+        return self._reader.is_idle
+
+    @property
+    def method(self) -> bytes:
+        """HTTP method of the current or last request; empty before it."""
+        return self._reader.method
+
     def run(self) -> None:
         """Serves requests one after another until the connection ends."""
         try:
             while self._serve_request():
                 self._http.start_next_cycle()
-        except (OSError, CallerDisconnectedError, h11.LocalProtocolError):
+                if self._reader.has_unread_bytes:
+                    # A caller that sends requests ahead waits for its turn.
+                    eventlet.sleep(0)
+        except (
+            OSError,
+            disconnect_watcher.CallerDisconnectedError,
+            h11.LocalProtocolError,
+        ):
             # The caller has disconnected, or the response is invalid or cut
             # short. The handler logs the outcome of the request.
             pass
@@ -274,34 +281,30 @@
         """
         if not data:
             return
+        is_large = len(data) >= _LARGE_WRITE_BYTES
+        if is_large:
+            self._account.start_write(len(data))
         remaining_s = max(0.05, self.write_deadline_s - clock.boottime())
         try:
             self._sock.settimeout(remaining_s)
-            self._sock.sendall(data)
+            self._sock.sendall(memoryview(data))
         except OSError as exc:
-            raise CallerDisconnectedError(str(exc)) from exc
+            raise disconnect_watcher.CallerDisconnectedError(str(exc)) from exc
+        finally:
+            if is_large:
+                self._account.end_write(len(data))
 
     def _serve_request(self) -> bool:
         """Serves one request; returns whether the connection stays open."""
         request_limits = self._handler.get_request_limits()
-        self.is_idle = self._http.trailing_data[0] == b""
-        try:
-            request = self._read_request(request_limits)
-        except h11.RemoteProtocolError as exc:
-            self._reject_request(exc.error_status_hint, str(exc))
-            return False
-        except TimeoutError:
-            if not self.is_idle:
-                self._reject_request(
-                    408, "the request was not complete in time"
-                )
-            return False
+        request = self._read_request(request_limits)
         if request is None:
             return False
-        self.is_idle = False
         self.write_deadline_s = clock.boottime() + request_limits.idle_timeout_s
         response_writer = ResponseWriter(self)
-        with _DisconnectWatcher(self._sock, bool(self._http.trailing_data[0])):
+        with disconnect_watcher.DisconnectWatcher(
+            self._sock, self._reader.has_unread_bytes
+        ):
             self._handler.handle(request, response_writer)
         is_response_sent = self._http.our_state is h11.DONE
         return (
@@ -312,82 +315,64 @@
 
     def _read_request(
         self, request_limits: limits.RequestLimits
-    ) -> Request | None:
-        """Reads one request; returns None if the caller closes first."""
-        event = self._next_event(
-            request_limits.idle_timeout_s, request_limits.header_timeout_s
-        )
-        if not isinstance(event, h11.Request):
-            return None
-        self.is_idle = False
-        arrived_s = clock.boottime()
-        self.method = bytes(event.method)
-        headers = [(bytes(k), bytes(v)) for k, v in event.headers.raw_items()]
-        _check_framing(headers)
-        _check_size(headers, request_limits.max_header_bytes)
-        if self._http.they_are_waiting_for_100_continue:
-            continue_response = h11.InformationalResponse(
-                status_code=100, headers=[]
+    ) -> request_reader.Request | None:
+        """Reads one request; rejects it if it is invalid or cannot be held.
+
+        Returns:
+            The request; None if there is none, and the connection must close.
+        """
+        self._account.start_waiting()
+        try:
+            request = self._reader.read_head(request_limits)
+            if request is None:
+                return None
+            self._send_continue(request_limits)
+            self._reader.read_body(
+                request,
+                request_limits,
+                must_keep=self._handler.needs_body(request),
             )
-            self.write_deadline_s = arrived_s + request_limits.header_timeout_s
-            self.write(self.encode_event(continue_response))
-        body = self._read_body(request_limits)
-        target = bytes(event.target)
-        return Request(self.method, target, headers, body, arrived_s)
-
-    def _read_body(self, request_limits: limits.RequestLimits) -> bytes:
-        """Reads the whole body of the current request."""
-        chunks: list[bytes] = []
-        size = 0
-        while True:
-            event_timeout_s = request_limits.header_timeout_s
-            event = self._next_event(event_timeout_s, event_timeout_s)
-            if isinstance(event, h11.EndOfMessage):
-                return b"".join(chunks)
-            if not isinstance(event, h11.Data):
-                raise h11.RemoteProtocolError("the request body is incomplete")
-            size += len(event.data)
-            if size > request_limits.max_body_bytes:
-                raise h11.RemoteProtocolError(
-                    "the request body exceeds the size limit",
-                    error_status_hint=413,
+        except h11.RemoteProtocolError as exc:
+            self._reject_request(exc.error_status_hint, str(exc))
+            return None
+        except TimeoutError:
+            if not self.is_idle:
+                self._reject_request(
+                    408, "the request was not complete in time"
                 )
-            chunks.append(bytes(event.data))
+            return None
+        except intake.IntakeFullError as exc:
+            if not self._account.is_evicted:
+                self._reject_request(503, str(exc), _RETRY_AFTER_S)
+            return None
+        self._account.stop_waiting()
+        self._account.served_count += 1
+        return request
 
-    def _next_event(
-        self, first_byte_timeout_s: float, event_timeout_s: float
-    ) -> h11.Event:
-        """Reads from the socket until the parser has an event.
+    def _send_continue(self, request_limits: limits.RequestLimits) -> None:
+        """Asks for the body of a request if its caller waits for that."""
+        if not self._http.they_are_waiting_for_100_continue:
+            return
+        continue_response = h11.InformationalResponse(
+            status_code=100, headers=[]
+        )
+        self.write_deadline_s = (
+            clock.boottime() + request_limits.header_timeout_s
+        )
+        self.write(self.encode_event(continue_response))
 
-        Args:
-            first_byte_timeout_s: Seconds to wait for the first byte.
-            event_timeout_s: Seconds from the first byte to the whole event.
+    def _reject_request(
+        self, status: int, message: str, retry_after_s: float | None = None
+    ) -> None:
+        """Rejects a request that was not passed on with an error response.
 
-        Raises:
-            TimeoutError: One of the waits has expired.
-            OSError: The connection failed.
-            h11.RemoteProtocolError: The bytes are not a valid request.
+        Args:
+            status: HTTP status code.
+            message: What is wrong, for the caller.
+            retry_after_s: Seconds after which the caller may come again; None
+                if that would not help.
         """
-        deadline_s = clock.boottime() + first_byte_timeout_s
-        has_started = False
-        while True:
-            event = self._http.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            if not has_started and self._http.trailing_data[0]:
-                has_started = True
-                deadline_s = clock.boottime() + event_timeout_s
-            remaining_s = deadline_s - clock.boottime()
-            if remaining_s <= 0:
-                raise TimeoutError
-            self._sock.settimeout(remaining_s)
-            data = self._sock.recv(_RECV_BYTES)
-            if data:
-                self.is_idle = False
-            self._http.receive_data(data)
-
-    def _reject_request(self, status: int, message: str) -> None:
-        """Rejects an invalid request with an error response."""
+        self._account.release()
         self.write_deadline_s = clock.boottime() + _REJECTION_TIMEOUT_S
         body = json.dumps({"error": message}).encode()
         headers = [
@@ -395,6 +380,8 @@
             (b"Content-Length", b"%d" % len(body)),
             (b"Connection", b"close"),
         ]
+        if retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % retry_after_s))
         try:
             data = self.encode_event(
                 h11.Response(status_code=status, headers=headers)
@@ -413,73 +400,10 @@
             self._sock.shutdown(socket.SHUT_WR)
             while (remaining_s := deadline_s - clock.boottime()) > 0:
                 self._sock.settimeout(remaining_s)
-                if not self._sock.recv(_RECV_BYTES):
+                if not self._sock.recv(request_reader.RECV_BYTES):
                     return
-
-
-class _DisconnectWatcher:
-    """Raises `CallerDisconnectedError` in the greenlet that serves a request.
-
-    The greenlet uses this class as a context manager; the socket is watched for
-    a disconnect inside the `with` block. Watching ends as soon as bytes of a
-    pipelined request arrive: these bytes are read only after the current
-    request, and a disconnect that follows unread bytes cannot be detected.
-
-    Args:
-        sock: Socket of the connection.
-        has_pipelined_data: Whether bytes of a pipelined request have already
-            been read; the socket is then not watched at all.
-    """
-
-    def __init__(
-        self, sock: green_socket.GreenSocket, has_pipelined_data: bool
-    ) -> None:
-        self._sock = sock
-        self._has_pipelined_data = has_pipelined_data
-        self._greenlet = greenlet.getcurrent()
-        self._hub_listener = None
-        self._is_active = True
-
-    def __enter__(self) -> None:
-        if not self._has_pipelined_data:
-            hub = eventlet.hubs.get_hub()
-            self._hub_listener = hub.add(
-                hub.READ,
-                self._sock.fileno(),
-                self._on_readable,
-                self._remove_hub_listener,
-                None,
-            )
-
-    def __exit__(self, *exc_info: object) -> None:
-        self._is_active = False
-        self._remove_hub_listener()
-
-    def _remove_hub_listener(self, *_: object) -> None:
-        if self._hub_listener is not None:
-            eventlet.hubs.get_hub().remove(self._hub_listener)
-            self._hub_listener = None
-
-    def _on_readable(self, _: int) -> None:
-        if self._hub_listener is None:
-            return
-        try:
-            flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-            is_disconnected = self._sock.fd.recv(1, flags) == b""
-        except BlockingIOError:
-            return
-        except OSError:
-            is_disconnected = True
-        self._remove_hub_listener()
-        if is_disconnected:
-            hub = eventlet.hubs.get_hub()
-            hub.schedule_call_global(0, self._raise_in_greenlet)
-
-    def _raise_in_greenlet(self) -> None:
-        if self._is_active:
-            self._greenlet.throw(
-                CallerDisconnectedError("the caller closed the connection")
-            )
+                # A caller that never pauses must not occupy the loop.
+                eventlet.sleep(0)
 
 
 def encode_failure(failure: errors.Failure) -> bytes:
@@ -490,39 +414,3 @@
     """
     fields = {"error": failure.kind.value, "run": failure.run_state.value}
     return json.dumps(fields).encode()
-
-
-def _check_framing(headers: client.Headers) -> None:
-    """Checks that HTTP parsers cannot find different ends of a request.
-
-    Raises:
-        h11.RemoteProtocolError: The headers give the length of the body or the
-            host more than once.
-    """
-    names = [name.lower() for name, _ in headers]
-    transfer_encoding_count = names.count(b"transfer-encoding")
-    if transfer_encoding_count > 1 or (
-        transfer_encoding_count and b"content-length" in names
-    ):
-        raise h11.RemoteProtocolError(
-            "the request gives the length of its body in two ways"
-        )
-    if names.count(b"content-length") > 1 or names.count(b"host") > 1:
-        raise h11.RemoteProtocolError(
-            "Content-Length or Host occurs more than once"
-        )
-
-
-def _check_size(headers: client.Headers, max_bytes: int) -> None:
-    """Checks that a request head does not exceed the size limit.
-
-    h11 enforces its limit only on a head that arrives in several reads.
-
-    Raises:
-        h11.RemoteProtocolError: The head is larger than `max_bytes`.
-    """
-    size = sum(len(name) + len(value) + 4 for name, value in headers)
-    if size > max_bytes:
-        raise h11.RemoteProtocolError(
-            "the request head exceeds the size limit", error_status_hint=431
-        )
--- /dev/null
+++ b/libs/http/tests/test_intake.py
@@ -0,0 +1,126 @@
+"""Guards the choice of what goes when callers make a process hold too much.
+
+The load: crowds that hold bodies open beside ordinary callers, and crowds of
+connections without a request.
+"""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from dandelionlead.http import intake
+from dandelionlead.http import turn_pacer
+
+_MEGABYTE = 1_048_576
+_CLOCK = "dandelionlead.http.intake.clock.boottime"
+
+
+class _Callers:
+    """Connections of callers at one intake, at a clock of the test."""
+
+    def __init__(self, memory_mb: int, max_descriptors: int = 4_096) -> None:
+        self.intake = intake.Intake(memory_mb * _MEGABYTE, max_descriptors)
+        self.evicted: list[str] = []
+        self.now_s = 0.0
+
+    def connect(self, name: str, host: str = "a") -> intake.Account | None:
+        """Opens a connection; `evicted` gets its name if it must go."""
+        with mock.patch(_CLOCK, lambda: self.now_s):
+            return self.intake.open_account(
+                host, lambda: self.evicted.append(name)
+            )
+
+    def hold(self, account: intake.Account, megabytes: float) -> bool:
+        """Lets a connection hold bytes; returns whether it may."""
+        with mock.patch(_CLOCK, lambda: self.now_s):
+            try:
+                account.hold(int(megabytes * _MEGABYTE))
+            except intake.IntakeFullError:
+                return False
+        return True
+
+
+class MemoryTest(unittest.TestCase):
+    """Guards against a crowd that keeps its room, and others that lose it."""
+
+    def test_largest_and_slowest_request_makes_room(self) -> None:
+        # Megabytes and age (s) of three requests; which must go for 1 MB more.
+        cases = (
+            ((6, 6, 3), (1, 5, 1), ["1"]),
+            ((9, 3, 3), (1, 1, 1), ["0"]),
+            ((5, 5, 5), (3, 2, 1), ["0"]),
+        )
+        for sizes, ages_s, expected in cases:
+            with self.subTest(sizes=sizes, ages_s=ages_s):
+                callers = _Callers(64)
+                for number, size in enumerate(sizes):
+                    callers.now_s = 10.0 - ages_s[number]
+                    account = callers.connect(str(number))
+                    self.assertTrue(callers.hold(account, size))
+                callers.now_s = 10.0
+                self.assertTrue(callers.hold(callers.connect("new"), 1))
+                self.assertEqual(callers.evicted, expected)
+
+    def test_request_that_is_served_is_not_evicted(self) -> None:
+        callers = _Callers(64)
+        served = callers.connect("served")
+        self.assertTrue(callers.hold(served, 12))
+        served.stop_waiting()
+        callers.now_s = 5.0
+        self.assertFalse(callers.hold(callers.connect("new"), 6))
+        self.assertEqual(callers.evicted, [])
+
+    def test_largest_legal_request_is_held_in_calm(self) -> None:
+        callers = _Callers(16)
+        callers.intake.allow_request_size(32 * _MEGABYTE)
+        self.assertTrue(callers.hold(callers.connect("only"), 33))
+
+    def test_closed_accounts_leave_nothing(self) -> None:
+        callers = _Callers(64)
+        accounts = [callers.connect(str(number)) for number in range(4)]
+        for account in accounts:
+            callers.hold(account, 1)
+            account.close()
+            account.close()
+        self.assertEqual(callers.intake.held_bytes, 0)
+        self.assertEqual(callers.intake.connection_count, 0)
+
+
+class ConnectionTest(unittest.TestCase):
+    """Guards against connections without a request that shut others out."""
+
+    def test_crowd_of_one_host_makes_room_for_others(self) -> None:
+        callers = _Callers(1_024, max_descriptors=220)
+        ordinary = callers.connect("ordinary", "b")
+        for number in range(9):
+            callers.now_s += 1.0
+            callers.connect(f"crowd-{number}")
+        self.assertIsNotNone(callers.connect("new", "c"))
+        self.assertEqual(callers.evicted, ["crowd-0"])
+        self.assertFalse(ordinary.is_evicted)
+
+    def test_connection_is_refused_if_all_are_served(self) -> None:
+        callers = _Callers(1_024, max_descriptors=220)
+        for number in range(10):
+            callers.connect(str(number)).stop_waiting()
+        self.assertIsNone(callers.connect("new"))
+        self.assertEqual(callers.intake.take_counts().refused_connections, 1)
+        self.assertTrue(callers.intake.take_counts().is_zero())
+
+
+class TurnPacerTest(unittest.TestCase):
+    """Guards against parsing that takes more than half of the loop."""
+
+    def test_turns_of_many_connections_share_one_half(self) -> None:
+        free_s = 0.0
+        now_s = 0.0
+        for _ in range(100):
+            started_s = max(now_s, free_s)
+            now_s = started_s + 0.01
+            free_s = turn_pacer.compute_free_s(free_s, started_s, now_s)
+        self.assertAlmostEqual(free_s, 2.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -13,8 +13,10 @@
 import eventlet
 import eventlet.green.socket as green_socket
 
+from dandelionlead.http import disconnect_watcher
 from dandelionlead.http import limits
 from dandelionlead.http import listener
+from dandelionlead.http import request_reader
 from dandelionlead.http import server
 
 _HOST_HEADER = b"Host: a\r\n"
@@ -31,17 +33,19 @@
     """
 
     def __init__(self) -> None:
-        self.handled_requests: list[server.Request] = []
+        self.handled_requests: list[request_reader.Request] = []
         self.handle_duration_s = 0.0
         self.disconnect_count = 0
 
     def handle(
-        self, request: server.Request, response_writer: server.ResponseWriter
+        self,
+        request: request_reader.Request,
+        response_writer: server.ResponseWriter,
     ) -> None:
         self.handled_requests.append(request)
         try:
             eventlet.sleep(self.handle_duration_s)
-        except server.CallerDisconnectedError:
+        except disconnect_watcher.CallerDisconnectedError:
             self.disconnect_count += 1
             raise
         response_writer.send_response(200, [], request.body)
--- a/tools/measure_path.py
+++ b/tools/measure_path.py
@@ -31,6 +31,7 @@
 from dandelionlead.http import client  # noqa: E402
 from dandelionlead.http import limits  # noqa: E402
 from dandelionlead.http import listener  # noqa: E402
+from dandelionlead.http import request_reader  # noqa: E402
 from dandelionlead.http import server  # noqa: E402
 
 _REQUEST_COUNT = 3_000
@@ -64,7 +65,9 @@
         self._idle_connections: list[client.ClientConnection] = []
 
     def handle(
-        self, request: server.Request, response_writer: server.ResponseWriter
+        self,
+        request: request_reader.Request,
+        response_writer: server.ResponseWriter,
     ) -> None:
         deadline_s = clock.boottime() + _TIMEOUT_S
         conn = (
--- a/tools/soak_workers.py
+++ b/tools/soak_workers.py
@@ -13,6 +13,7 @@
 import harness
 
 from dandelionlead.http import client
+from dandelionlead.http import request_reader
 from dandelionlead.http import server
 
 # `l_onoff` and `l_linger` of a socket whose close resets its connection.
@@ -160,7 +161,7 @@
 
     def _send_response(
         self,
-        request: server.Request,
+        request: request_reader.Request,
         request_id: str,
         headers: dict[str, str],
         response_writer: server.ResponseWriter,
