Tell versions of a store that was restored from an older copy apart

Cause: the store may come back some seconds older and give version numbers out once more. Nothing read Store-Era, so that changes under reused numbers were missed or taken for old ones, entries that the copy lacks were kept for good, and lost records of our own were not written again.

Change: the era of the store is part of each version (core.store_version). A new era replaces the whole table; rows that it lacks wait 2.5 s to be written again. Ruled out: an era beside the version in each message.

--- a/libs/cluster/src/dandelionlead/cluster/mirror.py
+++ b/libs/cluster/src/dandelionlead/cluster/mirror.py
@@ -2,6 +2,10 @@
 
 Changes come from reads of the store and from copies that peers send, in any
 order. A table never returns to an older version.
+
+If the store was restored from an older copy, its versions belong to a new era.
+The restored table replaces the local one, but rows that it lacks are kept for
+some time, because their writers write them again.
 """
 
 from __future__ import annotations
@@ -9,6 +13,8 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 
+from dandelionlead.core import store_version
+
 
 class Row:
     """A row of the store.
@@ -32,6 +38,9 @@
 # hold a slightly older version can copy the changes alone instead of the whole
 # table.
 _MAX_DELETIONS = 512
+# Seconds for which rows that a restored store lacks are kept. Their writers
+# write them again within about 2 s.
+_REWRITE_GRACE_S = 2.5
 
 
 class Table:
@@ -52,6 +61,9 @@
             which the deletions were recorded.
         deletions_from_version: `deletions` contains all deletions after this
             version.
+        unconfirmed_since_s: Time from which rows of an earlier era wait to be
+            written again, in seconds of `clock.boottime`; None if there are
+            none, or if the time was not noted yet.
     """
 
     __slots__ = (
@@ -62,6 +74,7 @@
         "last_read_s",
         "deletions",
         "deletions_from_version",
+        "unconfirmed_since_s",
     )
 
     def __init__(self) -> None:
@@ -72,6 +85,28 @@
         self.last_read_s = float("-inf")
         self.deletions: dict[str, int] = {}
         self.deletions_from_version = -1
+        self.unconfirmed_since_s: float | None = None
+
+    @property
+    def era(self) -> int:
+        """Era of the store that the version belongs to."""
+        return store_version.get_era(self.version)
+
+    def list_confirmed_rows(self) -> list[Row]:
+        """Returns the rows that the store holds in the present era."""
+        return [
+            row
+            for row in self.rows.values()
+            if store_version.get_era(row.version) >= self.era
+        ]
+
+    def list_unconfirmed_rows(self) -> list[Row]:
+        """Returns the rows that the store lacks since it was restored."""
+        return [
+            row
+            for row in self.rows.values()
+            if store_version.get_era(row.version) < self.era
+        ]
 
     def changes_since(self, version: int) -> list[Row] | None:
         """Returns the rows that changed after a version of the store.
@@ -155,6 +190,7 @@
         table = self.tables[name]
         if version < table.version:
             return False
+        is_new_era = 0 <= table.era < store_version.get_era(version)
         if version > table.version:
             # A whole copy does not contain the deletions between the two
             # versions, so the history of deletions restarts at its version.
@@ -164,8 +200,12 @@
         deleted = [
             Row(key, None, version)
             for key in table.rows
-            if key not in rows_by_key
+            if key not in rows_by_key and not is_new_era
         ]
+        if is_new_era:
+            table.deletions.clear()
+            table.unconfirmed_since_s = None
+            table.version = version
         changes = [*deleted, *rows_by_key.values()]
         return self.apply_changes(name, changes, version, confirmed_s)
 
@@ -188,7 +228,8 @@
 
         Returns:
             Whether the changes were applied; False if their version is older
-            than that of the table.
+            than that of the table, or of a later era: changes do not lead from
+            one era to the next.
 
         Raises:
             KeyError: If the mirror has no table of this name.
@@ -196,12 +237,32 @@
         table = self.tables[name]
         if version < table.version:
             return False
+        if 0 <= table.era < store_version.get_era(version):
+            return False
         for row in rows:
             self._apply_row(name, row)
         table.version = version
         table.last_confirmed_s = max(table.last_confirmed_s, confirmed_s)
         return True
 
+    def drop_unconfirmed_rows(self, now_s: float) -> None:
+        """Deletes the rows that were not written again in time.
+
+        To be called at short intervals.
+
+        Args:
+            now_s: Current time in seconds of `clock.boottime`.
+        """
+        for name, table in self.tables.items():
+            unconfirmed = table.list_unconfirmed_rows()
+            if not unconfirmed:
+                table.unconfirmed_since_s = None
+            elif table.unconfirmed_since_s is None:
+                table.unconfirmed_since_s = now_s
+            elif now_s - table.unconfirmed_since_s >= _REWRITE_GRACE_S:
+                for row in unconfirmed:
+                    self._apply_row(name, Row(row.key, None, table.version))
+
     def _apply_row(self, name: str, row: Row) -> None:
         """Applies a row unless a newer row or deletion of its key is stored."""
         table = self.tables[name]
--- a/libs/cluster/src/dandelionlead/cluster/table_copier.py
+++ b/libs/cluster/src/dandelionlead/cluster/table_copier.py
@@ -13,6 +13,7 @@
 from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.core import metrics
+from dandelionlead.core import store_version
 
 # Shortest time between the starts of two copies if the second one is started
 # because a peer's message names a newer version.
@@ -140,7 +141,7 @@
                 "copied_from_peer",
                 table=table.name,
                 peer=host,
-                version=table.version,
+                version=store_version.format_version(table.version),
                 rows=len(rows),
             )
         apply_rows = (
--- a/libs/cluster/src/dandelionlead/cluster/table_sending.py
+++ b/libs/cluster/src/dandelionlead/cluster/table_sending.py
@@ -89,9 +89,10 @@
             )
             changed = table.changes_since(known_version)
             is_whole = changed is None
+            sent_rows = table.list_confirmed_rows() if is_whole else changed
             rows = [
                 self._build_row(name, row, bool(req.accepts_compression))
-                for row in (table.rows.values() if is_whole else changed)
+                for row in sent_rows
             ]
             tables.append(
                 ttypes.Table(
--- a/libs/gateway/src/dandelionlead/gateway/state_dump.py
+++ b/libs/gateway/src/dandelionlead/gateway/state_dump.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dandelionlead.cluster import mirror
+from dandelionlead.core import store_version
 from dandelionlead.gateway import peer_state
 from dandelionlead.routing import model
 
@@ -116,8 +117,10 @@
 def _describe_table(table: mirror.Table, now_s: float) -> dict[str, object]:
     """Returns the versions and ages of a replicated table."""
     return {
-        "version": table.version,
-        "changed_version": table.last_change_version,
+        "version": store_version.get_number(table.version),
+        "era": table.era,
+        "unconfirmed_rows": len(table.list_unconfirmed_rows()),
+        "changed_version": store_version.get_number(table.last_change_version),
         "confirmed_s_ago": _age_s(table.last_confirmed_s, now_s),
         "read_s_ago": _age_s(table.last_read_s, now_s),
     }
--- a/libs/routing/src/dandelionlead/routing/model.py
+++ b/libs/routing/src/dandelionlead/routing/model.py
@@ -322,3 +322,11 @@
         self.service = service
         self.target_version = target_version
         self.duration_s = duration_s
+
+    def is_same(self, other: RolloutOrder) -> bool:
+        """Returns whether another order has the same content."""
+        return (
+            self.service == other.service
+            and self.target_version == other.target_version
+            and self.duration_s == other.duration_s
+        )
--- a/libs/routing/src/dandelionlead/routing/rollouts.py
+++ b/libs/routing/src/dandelionlead/routing/rollouts.py
@@ -413,6 +413,17 @@
             rollout = Rollout(order, order_version, now_s)
             self._rollouts[order.service] = rollout
 
+    def renew(self, service: str, order_version: int) -> None:
+        """Gives a rollout the version of its order after it was written again.
+
+        The rollout keeps its counts and its verdict.
+
+        Args:
+            service: Name of the service, which must have a rollout.
+            order_version: Version with which the same order was written again.
+        """
+        self._rollouts[service].order_version = order_version
+
     def remove(self, service: str) -> None:
         """Removes the rollout of a service whose order was deleted."""
         self._rollouts.pop(service, None)
