Take a status outside the protocol for no answer

Cause: the parser takes any three digits from 200 to 999 for a final status, so that a signed 600 or 999 of a worker reached callers on all kinds of routes (000, 001, 099, 199, 20 and +20 ended as 502 already).

Change: http.client.read_head, which reads all responses, refuses statuses above 599.

--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -22,6 +22,8 @@
 from dandelionlead.http import link_activity
 
 _RECV_BYTES = 65_536
+# The parser rejects statuses below 100, and skips those below 200.
+_MAX_STATUS = 599
 # Bodies from this size on are sent apart from the head.
 _LARGE_BODY_BYTES = 65_536
 _MAX_HEAD_BYTES = 65_536
@@ -249,6 +251,10 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                if event.status_code > _MAX_STATUS:
+                    return _endpoint_failed(
+                        f"the protocol has no status {event.status_code}"
+                    )
                 return _make_head(event)
             return _endpoint_failed(
                 "the peer closed the connection before a response"
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -228,6 +228,30 @@
                 conn.close()
 
 
+class StatusTest(unittest.TestCase):
+    """Guards against a status outside the protocol that passes as an answer.
+
+    All responses are read here: of endpoints, first ones and those of resumed
+    streams, of the store and to control requests.
+    """
+
+    def test_only_statuses_of_the_protocol_are_answers(self) -> None:
+        faulty = ("000", "001", "099", "199", "600", "999", "20", "+20", "2000")
+        for status in (*faulty, "200", "404", "599"):
+            with self.subTest(status):
+                endpoint = _ScriptedEndpoint(
+                    b"HTTP/1.1 %b X\r\nContent-Length: 5\r\n\r\nwhole"
+                    % status.encode(),
+                    ending="close",
+                )
+                conn, head, _ = _request(endpoint)
+                conn.close()
+                is_failure = isinstance(head, errors.Failure)
+                self.assertEqual(is_failure, status in faulty)
+                if is_failure:
+                    self.assertIs(head.kind, errors.Kind.ENDPOINT_FAILED)
+
+
 class ReuseTest(unittest.TestCase):
     """Guards against a response that reaches the caller of another request."""
 
