--- a/libs/core/src/dandelionlead/core/decoding.py
+++ b/libs/core/src/dandelionlead/core/decoding.py
@@ -57,6 +57,10 @@
         """Returns whether a field is present and not null."""
         return self._values.get(name) is not None
 
+    def names(self) -> list[str]:
+        """Returns the names of all fields."""
+        return list(self._values)
+
     def get_text(self, name: str, default: str | None = None) -> str:
         """Returns a text; an empty text counts as missing."""
         value = self._get(name, _MISSING if default is None else default)
--- /dev/null
+++ b/libs/duties/src/dandelionlead/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Duties that one process at a time carries out for all."""
--- a/libs/gateway/src/dandelionlead/gateway/call_progress.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_progress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
@@ -44,19 +45,24 @@
         "_response_writer",
         "_endpoint_in_attempt",
         "_possible_run_endpoints",
+        "_has_begun",
         "_has_ended",
+        "_on_begun",
     )
 
     def __init__(
         self,
         admitted: calls.AdmittedCall,
         response_writer: server.ResponseWriter,
+        on_begun: Callable[[calls.AdmittedCall, float], None] | None = None,
     ) -> None:
         """Starts to track a call that waits for an endpoint.
 
         Args:
             admitted: The call.
             response_writer: Writes the response to the caller.
+            on_begun: Called once, when an endpoint has begun to run the call,
+                with the call and the time in seconds; None if nobody counts.
         """
         self.admitted = admitted
         self.endpoint_id = ""
@@ -65,7 +71,9 @@
         self._endpoint_in_attempt: model.Endpoint | None = None
         # Endpoints that ran the call or may have run it, by incarnation.
         self._possible_run_endpoints: dict[str, model.Endpoint] = {}
+        self._has_begun = False
         self._has_ended = False
+        self._on_begun = on_begun
 
     @property
     def phase(self) -> Phase:
@@ -88,6 +96,20 @@
         """Number of endpoints that ran the call in an ended attempt, or may."""
         return len(self._possible_run_endpoints)
 
+    def record_begun(self, began_s: float) -> None:
+        """Records that an endpoint has begun to run the call.
+
+        Only the first time counts.
+
+        Args:
+            began_s: When it began, in seconds of `clock.boottime`.
+        """
+        if self._has_begun:
+            return
+        self._has_begun = True
+        if self._on_begun is not None:
+            self._on_begun(self.admitted, began_s)
+
     def begin_attempt(self, endpoint: model.Endpoint) -> None:
         """Records that the call is about to be sent to an endpoint."""
         self._endpoint_in_attempt = endpoint
--- a/libs/gateway/src/dandelionlead/gateway/call_reporting.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_reporting.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
@@ -21,6 +23,10 @@
         view: Holds the configuration in force.
         log: Receives one line for each finished call.
         metrics_registry: Receives the metrics.
+
+    Attributes:
+        begun_listener: Called when an endpoint has begun to run a call, with
+            the name of the team and the time in Unix seconds.
     """
 
     def __init__(
@@ -34,6 +40,18 @@
         self._view = view
         self._log = log
         self._metrics_registry = metrics_registry
+        self.begun_listener: Callable[[str, float], None] = _ignore_begun
+
+    def note_begun(self, admitted: calls.AdmittedCall, began_s: float) -> None:
+        """Passes on that an endpoint has begun to run a call of a team.
+
+        Args:
+            admitted: The call.
+            began_s: When it began, in seconds of `clock.boottime`.
+        """
+        if admitted.team is not None:
+            age_s = clock.boottime() - began_s
+            self.begun_listener(admitted.team.name, clock.unix_time() - age_s)
 
     def send_error_response(
         self,
@@ -129,3 +147,7 @@
             took_ms=int(took_s * 1e3),
             **fields,
         )
+
+
+def _ignore_begun(_: str, __: float) -> None:
+    """Does nothing; the default listener for runs that have begun."""
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -112,7 +112,9 @@
         admitted: calls.AdmittedCall,
         response_writer: server.ResponseWriter,
     ) -> None:
-        self.progress = call_progress.CallProgress(admitted, response_writer)
+        self.progress = call_progress.CallProgress(
+            admitted, response_writer, deps.call_reporter.note_begun
+        )
         self._deps = deps
         self._admitted = admitted
         self._call = admitted.call
@@ -358,6 +360,8 @@
             )
             self._crashes.record_broken_connection(endpoint)
         self._failure = failure
+        if failure.run_state is not errors.RunState.NOT_RUN:
+            self._record_begun_if_plain(run)
         self.progress.end_attempt(failure.run_state)
         took_s = now_s - run.sent_s
         deps.scheduler.record_outcome(
@@ -371,6 +375,14 @@
             reason=failure.reason,
         )
 
+    def _record_begun_if_plain(self, run: runs.Run) -> None:
+        """Records that an endpoint of a plain service has run the call.
+
+        A generation begins with its first event, which the relay records.
+        """
+        if self._admitted.route.kind is not model.CallKind.STREAMING:
+            self.progress.record_begun(run.sent_s)
+
     def _record_rejection(self, response: sending.EndpointResponse) -> bool:
         """Records the response as a rejection if it is one.
 
@@ -466,6 +478,7 @@
             admitted.deadline_s, sending.MAX_BODY_BYTES
         )
         now_s = clock.boottime()
+        self._record_begun_if_plain(run)
         self.progress.end_attempt(errors.RunState.RAN)
         if isinstance(body, errors.Failure):
             deps.scheduler.health_tracker.record_unreachable(endpoint_id, now_s)
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -306,6 +306,7 @@
             self.outcome.first_event_s = clock.boottime()
             self._pace.record_start(self.outcome.first_event_s)
             run = self._run
+            self._progress.record_begun(self.outcome.first_event_s)
             if not run.resumption_count:
                 first_event_delay_s = self.outcome.first_event_s - run.sent_s
                 self._scheduler.prefill_rate.add_measurement(
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -26,6 +26,7 @@
     "config": ("core", "routing"),
     "gateway": ("core", "http", "routing", "cluster"),
     "ctl": ("core",),
+    "duties": ("core",),
 }
 
 
