Spread prompts over engines of low cost instead of taking the cheapest

Change: an engine is drawn with a weight that falls with its cost; plain services as before.

Eight prompts that do not know of each other all met at one engine in the test before; under 4 on the mean now.

--- a/libs/routing/src/dandelionlead/routing/endpoint_selection.py
+++ b/libs/routing/src/dandelionlead/routing/endpoint_selection.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable
 
@@ -20,9 +21,14 @@
 _PREFILL_COST_PER_TOKEN = 1.0 / 5_000
 _FAILURE_COST = 3.0
 _NO_ROOM_COST = 4.0
-# Endpoints whose cost is at most this much above the lowest one count as equal;
-# one of them is drawn at random.
+# Endpoints of a plain service whose cost is at most this much above the lowest
+# one count as equal; one of them is drawn at random.
 _COST_TOLERANCE = 0.02
+# Excess over the lowest cost at which an engine is drawn e times less often
+# than the cheapest one. Many processes see the same loads, some tenths of a
+# second late: if all took the cheapest engine, their prompts would wait for
+# each other there.
+_COST_SPREAD = 0.1
 # Prompt tokens of work without a prompt for which the speed of an engine counts
 # like that of reading: a run that goes on is also slower on a slow engine.
 _MIN_PACED_TOKENS = 1_000
@@ -109,22 +115,29 @@
     if home_costs and other_costs:
         gain = _find_lowest(home_costs) - _find_lowest(other_costs)
         leaves = rng.random() < zone_rule.compute_share(gain)
-        return _draw_cheapest(other_costs if leaves else home_costs, rng)
-    return _draw_cheapest(home_costs or other_costs, rng)
+        return _draw(other_costs if leaves else home_costs, service, rng)
+    return _draw(home_costs or other_costs, service, rng)
 
 
 def _find_lowest(costs: list[tuple[float, model.Endpoint]]) -> float:
     return min(cost for cost, _ in costs)
 
 
-def _draw_cheapest(
-    costs: list[tuple[float, model.Endpoint]], rng: random.Random
+def _draw(
+    costs: list[tuple[float, model.Endpoint]],
+    service: model.Service,
+    rng: random.Random,
 ) -> model.Endpoint | None:
-    """Returns one of the endpoints with the lowest cost, or None."""
+    """Returns an endpoint of low cost, or None if there is none."""
     if not costs:
         return None
-    limit = _find_lowest(costs) + _COST_TOLERANCE
-    return rng.choice([endpoint for cost, endpoint in costs if cost <= limit])
+    lowest = _find_lowest(costs)
+    if service.engine is None:
+        limit = lowest + _COST_TOLERANCE
+        cheapest = [endpoint for cost, endpoint in costs if cost <= limit]
+        return rng.choice(cheapest)
+    weights = [math.exp((lowest - cost) / _COST_SPREAD) for cost, _ in costs]
+    return rng.choices([endpoint for _, endpoint in costs], weights)[0]
 
 
 def has_room(
--- a/libs/routing/tests/test_endpoint_pace.py
+++ b/libs/routing/tests/test_endpoint_pace.py
@@ -137,5 +137,41 @@
         self.assertLess(chosen.count("slow"), 4)
 
 
+class StaleLoadsTest(unittest.TestCase):
+    """Guards against many processes that all take the cheapest engine.
+
+    The load: 30 engines, and 8 prompts from 8 processes that have not heard of
+    each other's yet.
+    """
+
+    def test_prompts_that_do_not_know_of_each_other_spread(self) -> None:
+        rng = random.Random(11)
+        most = []
+        for _ in range(40):
+            candidates = [
+                endpoint_selection.Candidate(
+                    model.Endpoint(f"e{number}", "engines", "10.0.0.1", 1, "a"),
+                    # One engine has just started, the others hold some runs.
+                    loads.Load(min(number, 3), 3_500 * min(number, 2)),
+                    0.0,
+                    False,
+                )
+                for number in range(30)
+            ]
+            chosen = [
+                endpoint_selection.choose_cheapest(
+                    candidates,
+                    _SERVICE,
+                    "a",
+                    endpoint_selection.Work(3_800, 3_000),
+                    rng,
+                    zone_share.make_step(0.03),
+                ).endpoint_id
+                for _ in range(8)
+            ]
+            most.append(max(chosen.count(name) for name in set(chosen)))
+        self.assertLess(sum(most) / len(most), 4)
+
+
 if __name__ == "__main__":
     unittest.main()
