Expect the first event by the pace that all processes measure

Change: the estimate comes from the shared measurements; an attempt that was given up is a measurement too, as a lower bound. Before five measurements the old mean counts.

--- a/libs/gateway/src/dandelionlead/gateway/endpoint_finder.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_finder.py
@@ -80,8 +80,8 @@
         queue = self._queues.setdefault(service_name, wait_queue.WaitQueue())
         entry = wait_queue.QueueEntry(
             admitted,
-            self._scheduler.prefill_rate.estimate_s(
-                admitted.call.prompt_tokens
+            self._scheduler.estimate_read_s(
+                "", admitted.call.prompt_tokens, clock.boottime()
             ),
             clock.boottime(),
             policy.wait_part,
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -317,7 +317,7 @@
     ) -> sending.EndpointResponse | errors.Failure:
         """Sends the call to the run's endpoint and reads the response head."""
         expected_s = self._deps.scheduler.estimate_read_s(
-            run.endpoint, run.prefill_backlog_tokens, run.sent_s
+            run.endpoint.endpoint_id, run.prefill_backlog_tokens, run.sent_s
         )
         return self._deps.sender.send_call(
             self._admitted,
@@ -352,6 +352,12 @@
             deps.scheduler.health_tracker.record_response(
                 endpoint.endpoint_id, now_s, failed=True
             )
+            deps.scheduler.endpoint_paces.measure_silence(
+                endpoint.endpoint_id,
+                run.prefill_backlog_tokens,
+                now_s - run.sent_s,
+                now_s,
+            )
         elif failure.kind is errors.Kind.ENDPOINT_UNREACHABLE:
             deps.scheduler.record_unreachable(endpoint, now_s)
         else:
--- a/libs/routing/src/dandelionlead/routing/endpoint_pace.py
+++ b/libs/routing/src/dandelionlead/routing/endpoint_pace.py
@@ -24,6 +24,8 @@
 _MEAN_HALF_LIFE_S = 20.0
 # Measurements that the assumption counts for that an engine is like the others.
 _PRIOR_WEIGHT = 1.0
+# Measurements from which the mean of all engines is used for estimates.
+_MIN_MEAN_WEIGHT = 5.0
 _MIN_SLOWNESS = 0.5
 _MAX_SLOWNESS = 3.0
 
@@ -64,6 +66,10 @@
         self.mean += (value - self.mean) / self._weight
         self._updated_s = max(now_s, self._updated_s)
 
+    def has_weight(self, weight: float, now_s: float) -> bool:
+        """Whether the values count for at least so many present ones."""
+        return self._compute_weight(now_s) >= weight
+
     def compute(self, prior: float, prior_weight: float, now_s: float) -> float:
         """Returns the mean together with an assumption of some weight."""
         weight = self._compute_weight(now_s)
@@ -110,6 +116,42 @@
         self._own[endpoint_id] = Measurement(own.count + 1, us_per_token)
         self._add(endpoint_id, us_per_token, now_s)
 
+    def measure_silence(
+        self, endpoint_id: str, tokens: int, waited_s: float, now_s: float
+    ) -> None:
+        """Adds a measurement of an engine that has not sent an event yet.
+
+        The time is a lower bound, which counts only if it exceeds the mean.
+
+        Args:
+            endpoint_id: Id of the engine.
+            tokens: Prompt tokens as for `measure`.
+            waited_s: Seconds for which the engine was waited for.
+            now_s: Current time in seconds.
+        """
+        if tokens and waited_s * 1e6 / tokens > math.exp(self._mean.mean):
+            self.measure(endpoint_id, tokens, waited_s, now_s)
+
+    def estimate_read_s(
+        self, endpoint_id: str, tokens: int, now_s: float
+    ) -> float | None:
+        """Returns the expected seconds until an engine has read some tokens.
+
+        Args:
+            endpoint_id: Id of the engine; empty for one of mean speed.
+            tokens: Prompt tokens that it has to read.
+            now_s: Current time in seconds.
+
+        Returns:
+            The seconds; None if there are too few recent measurements.
+        """
+        if not self._is_enabled or not self._mean.has_weight(
+            _MIN_MEAN_WEIGHT, now_s
+        ):
+            return None
+        mean_s = tokens * math.exp(self._mean.mean) / 1e6
+        return mean_s * self.compute_slowness(endpoint_id, now_s)
+
     def get_own_measurement(self, endpoint_id: str) -> Measurement:
         """Returns the last measurement of this process at an engine."""
         return self._own.get(endpoint_id) or Measurement()
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -280,13 +280,19 @@
         return tokens / (len(open_endpoints) * service.engine.memory_tokens)
 
     def estimate_read_s(
-        self, endpoint: model.Endpoint, tokens: int, now_s: float
+        self, endpoint_id: str, tokens: int, now_s: float
     ) -> float:
-        """Returns the expected seconds until an engine has read some tokens."""
-        slowness = self.endpoint_paces.compute_slowness(
-            endpoint.endpoint_id, now_s
-        )
-        return slowness * self.prefill_rate.estimate_s(tokens)
+        """Returns the expected seconds until an engine has read some tokens.
+
+        Args:
+            endpoint_id: Id of the engine; empty for one of mean speed.
+            tokens: Prompt tokens that it has to read.
+            now_s: Current time in seconds.
+        """
+        read_s = self.endpoint_paces.estimate_read_s(endpoint_id, tokens, now_s)
+        if read_s is None:
+            return self.prefill_rate.estimate_s(tokens)
+        return read_s
 
     def is_in_own_zone(self, endpoint: model.Endpoint) -> bool:
         """Whether an endpoint is in the availability zone of this process."""
