--- a/libs/cluster/src/dandelionlead/cluster/gossip.py
+++ b/libs/cluster/src/dandelionlead/cluster/gossip.py
@@ -23,6 +23,7 @@
 from dandelionlead.cluster import rumors
 from dandelionlead.cluster import state_handler
 from dandelionlead.cluster import state_requests
+from dandelionlead.cluster import timed_limit
 from dandelionlead.cluster.gen import ttypes
 
 # Time between two rounds. A message with changes serves as the next round if
@@ -152,7 +153,7 @@
         ):
             return None
         message = self._build_message(now_s)
-        self._add_changes(message)
+        self._add_changes(message, now_s)
         return message
 
     def build_round(self, now_s: float) -> ttypes.Gossip:
@@ -166,7 +167,7 @@
         self._is_state_changed = self._is_news_changed = True
         self._collect_own_changes(now_s)
         message = self._build_message(now_s)
-        self._add_changes(message)
+        self._add_changes(message, now_s)
         self._add_beats(message, now_s)
         self._add_digests(message)
         message.news = message.news or self._news.draw_repeated(now_s)
@@ -242,7 +243,7 @@
             reaches_all=self._members.is_direct(),
         )
 
-    def _add_changes(self, message: ttypes.Gossip) -> None:
+    def _add_changes(self, message: ttypes.Gossip, now_s: float) -> None:
         """Adds what is queued to a message for some processes."""
         self._is_announcement_due = False
         updates = self._updates.take()
@@ -251,7 +252,11 @@
                 (item.process_id, item.number, item.load) for item in updates
             )
             message.limits = [
-                ttypes.LimitUpdate(item.process_id, item.number, item.limit)
+                ttypes.LimitUpdate(
+                    item.process_id,
+                    item.number,
+                    item.limit.build_message(now_s),
+                )
                 for item in updates
                 if item.limit is not None
             ] or None
@@ -340,7 +345,7 @@
             process_id,
             replica.complete_number,
             replica.list_loads(),
-            list(replica.limits.values()),
+            [item.build_message(now_s) for item in replica.limits.values()],
         )
 
     def _build_request(
@@ -425,8 +430,9 @@
             if is_newest and process_id in self._live:
                 self._handler.apply_load(member.state.node, load)
             if limit is not None:
-                replica.limits[limit.endpoint_id] = limit
                 self._handler.apply_limit(member, limit, now_s)
+                limit = timed_limit.TimedLimit(limit, now_s)
+                replica.limits[load.endpoint_id] = limit
             if not message.reaches_all:
                 update = own_loads.Update(process_id, number, load, limit)
                 self._updates.add((process_id, number), update)
--- a/libs/cluster/src/dandelionlead/cluster/load_replicas.py
+++ b/libs/cluster/src/dandelionlead/cluster/load_replicas.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 
+from dandelionlead.cluster import timed_limit
 from dandelionlead.cluster.gen import ttypes
 
 # Entries without load are dropped when a copy has more entries than this.
@@ -43,7 +44,7 @@
 
     def __init__(self) -> None:
         self.loads: dict[str, tuple[int, ttypes.EndpointLoad]] = {}
-        self.limits: dict[str, ttypes.EndpointLimit] = {}
+        self.limits: dict[str, timed_limit.TimedLimit] = {}
         self.complete_number = 0
         self.later_numbers: set[int] = set()
         self.known_number = 0
@@ -99,7 +100,10 @@
         self.loads = {
             load.endpoint_id: (snapshot.number, load) for load in snapshot.loads
         } | later
-        self.limits |= {item.endpoint_id: item for item in snapshot.limits}
+        self.limits |= {
+            item.endpoint_id: timed_limit.TimedLimit(item, now_s)
+            for item in snapshot.limits
+        }
         self.complete_number = snapshot.number
         self.later_numbers = {
             number for number in self.later_numbers if number > snapshot.number
--- a/libs/cluster/src/dandelionlead/cluster/own_loads.py
+++ b/libs/cluster/src/dandelionlead/cluster/own_loads.py
@@ -4,6 +4,7 @@
 
 from dandelionlead.cluster import load_replicas
 from dandelionlead.cluster import state_handler
+from dandelionlead.cluster import timed_limit
 from dandelionlead.cluster.gen import ttypes
 
 
@@ -24,7 +25,7 @@
         process_id: int,
         number: int,
         load: ttypes.EndpointLoad,
-        limit: ttypes.EndpointLimit | None,
+        limit: timed_limit.TimedLimit | None,
     ) -> None:
         self.process_id = process_id
         self.number = number
@@ -79,7 +80,7 @@
             set(),
         )
         limits = {
-            limit.endpoint_id: limit
+            limit.endpoint_id: timed_limit.TimedLimit(limit, now_s)
             for limit in self._handler.list_own_limits(endpoint_ids, now_s)
         }
         updates = []
--- a/libs/cluster/tests/gossip_handler.py
+++ b/libs/cluster/tests/gossip_handler.py
@@ -17,6 +17,10 @@
         news: Times in seconds at which news arrived, by name.
         tables: Versions of the tables of this process.
         newer_hosts: Hosts whose tables were newer, in order of arrival.
+        limit_named_s: Times in seconds at which endpoints stated their limits
+            to this process, by endpoint id.
+        limit_errors_s: For each limit that arrived, by how many seconds it
+            seemed to have been stated later than it was.
     """
 
     def __init__(self, name: str, host: str, zone: str) -> None:
@@ -27,6 +31,8 @@
         self.news: dict[str, float] = {}
         self.tables = state_handler.TableVersions(1, 1, 0.0, 0.0)
         self.newer_hosts: list[str] = []
+        self.limit_named_s: dict[str, float] = {}
+        self.limit_errors_s: list[float] = []
 
     def build_state(self, version, now_s):
         return ttypes.MemberState(
@@ -53,7 +59,14 @@
         return [self.get_own_load(name) for name in self.own_loads]
 
     def list_own_limits(self, endpoint_ids, now_s):
-        return []
+        # The count of sent requests holds the true time in milliseconds.
+        return [
+            ttypes.EndpointLimit(
+                name, 3.0, int((now_s - named_s) * 1e3), int(named_s * 1e3), 0
+            )
+            for name, named_s in self.limit_named_s.items()
+            if endpoint_ids is None or name in endpoint_ids
+        ]
 
     def list_news(self, now_s) -> dict[Hashable, state_handler.NewsItem]:
         return {
@@ -76,7 +89,8 @@
         self.loads[node] = {load.endpoint_id: load.runs for load in loads}
 
     def apply_limit(self, member, limit, now_s):
-        pass
+        named_s = now_s - limit.named_ms_ago / 1e3
+        self.limit_errors_s.append(named_s - limit.sent_count / 1e3)
 
     def apply_news(self, news, now_s):
         for item in news.leaving:
--- a/libs/cluster/tests/test_gossip.py
+++ b/libs/cluster/tests/test_gossip.py
@@ -380,6 +380,30 @@
         network.start(45)
         self.assertLess(network.measure_until(_knows_all, 10.0), 5.0)
 
+    def test_limits_keep_their_age_while_they_are_passed_on(self) -> None:
+        """Guards against an ended limit that looks newer than the next one.
+
+        The fleet sends on, and requests what was lost from others than the
+        process that it is about.
+        """
+        network = self._start_fleet(60)
+        network.loss = 0.2
+        for number, process in enumerate(network.live()[:20]):
+            name = f"limited-{number}"
+            process.handler.limit_named_s[name] = network.now_s
+            process.handler.own_loads[name] = 1
+            process.gossip.note_limit_changed(name)
+            network.run(0.2)
+        network.run(6.0)
+        errors_s = [
+            error_s
+            for process in network.live()
+            for error_s in process.handler.limit_errors_s
+        ]
+        self.assertGreater(len(errors_s), 500)
+        # The time of one message is not part of the age.
+        self.assertLess(max(errors_s), 0.1)
+
     def test_new_table_is_announced_to_all(self) -> None:
         network = self._start_fleet(120)
         source = network.processes[0]
