Split a head from its body also where the head's end comes in two pieces

Cause: the end of a head was sought in each piece that arrived alone. If it was cut in two, the first chunk of the body reached the parser beside the merger of chunks, which then began inside that chunk: a body whose content looks like chunks got other bytes, or its request ended with 408.

Change: the last two bytes before a piece belong to the search.

Measured: a chunked request split at each place after its head, with chunks that look like chunk sizes: failed before at the cut end of the head, passes now.

--- a/libs/http/src/dandelionlead/http/request_reader.py
+++ b/libs/http/src/dandelionlead/http/request_reader.py
@@ -26,6 +26,8 @@
 # Events of a body that are taken from the parser in one turn.
 _EVENTS_PER_TURN = 100
 _HEAD_END = re.compile(rb"\n\r?\n")
+# Bytes of the end of a head that may have come with the bytes before.
+_HEAD_END_BYTES = 2
 
 
 class Request:
@@ -203,6 +205,9 @@
             else request_limits.header_timeout_s
         )
         deadline_s = clock.boottime() + timeout_s
+        # The body must not reach the parser together with the head: the chunks
+        # of a body are merged from their first one on.
+        tail = b""
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
@@ -211,8 +216,9 @@
             if data and self.is_idle:
                 self.is_idle = False
                 deadline_s = clock.boottime() + request_limits.header_timeout_s
-            match = _HEAD_END.search(data)
-            head_end = match.end() if match else len(data)
+            match = _HEAD_END.search(tail + data)
+            head_end = match.end() - len(tail) if match else len(data)
+            tail = b"" if match else (tail + data)[-_HEAD_END_BYTES:]
             self._unread = data[head_end:]
             self._unparsed_bytes += head_end
             self._account.hold(self._unparsed_bytes + len(self._unread))
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import re
+import socket
 import unittest
 
 import eventlet
@@ -194,5 +195,42 @@
         self.assertEqual(self.handler.disconnect_count, 1)
 
 
+class SplitRequestTest(_ListenerTestCase):
+    """Guards against a body that depends on how its request was split.
+
+    The content of the chunks looks like sizes of chunks.
+    """
+
+    def test_body_is_the_same_wherever_the_request_is_split(self) -> None:
+        chunks = (b"1\r\nx\r\n1\r\ny\r\n", b"3\r\n", b"0\r\n\r\n")
+        body = b"".join(chunks)
+        data = (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        head_end = len(data)
+        data += b"".join(b"%x\r\n%b\r\n" % (len(c), c) for c in chunks)
+        data += b"0\r\n\r\n"
+        for first in range(head_end - 5, len(data)):
+            for second in (first + 4, first + 9):
+                with self.subTest(first=first, second=second):
+                    sock = green_socket.socket()
+                    sock.settimeout(2.0)
+                    sock.connect(self.listener.address)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    for piece in (
+                        data[:first],
+                        data[first:second],
+                        data[second:],
+                    ):
+                        sock.sendall(piece)
+                        eventlet.sleep(0.001)
+                    status = sock.recv(4_096)[9:12]
+                    sock.close()
+                    self.assertEqual(status, b"200")
+                    self.assertEqual(
+                        self.handler.handled_requests[-1].body, body
+                    )
+
+
 if __name__ == "__main__":
     unittest.main()
