Spread prompts by the number of processes that place calls

Cause: with few processes, which hear of each other's prompts at once, drawing engines by cost only takes worse ones; earlier deployments have 7 to 9 processes.

--- a/libs/routing/src/dandelionlead/routing/endpoint_selection.py
+++ b/libs/routing/src/dandelionlead/routing/endpoint_selection.py
@@ -25,10 +25,13 @@
 # one count as equal; one of them is drawn at random.
 _COST_TOLERANCE = 0.02
 # Excess over the lowest cost at which an engine is drawn e times less often
-# than the cheapest one. Many processes see the same loads, some tenths of a
-# second late: if all took the cheapest engine, their prompts would wait for
-# each other there.
-_COST_SPREAD = 0.1
+# than the cheapest one, for each process that places calls, and its bounds.
+# Many processes see the same loads, some tenths of a second late: if all took
+# the cheapest engine, their prompts would wait for each other there. Few
+# processes hear of each other's prompts at once.
+_COST_SPREAD_PER_PROCESS = 0.0015
+_MIN_COST_SPREAD = 0.01
+_MAX_COST_SPREAD = 0.1
 # Prompt tokens of work without a prompt for which the speed of an engine counts
 # like that of reading: a run that goes on is also slower on a slow engine.
 _MIN_PACED_TOKENS = 1_000
@@ -84,6 +87,7 @@
     work: Work,
     rng: random.Random,
     zone_rule: zone_share.ZoneRule,
+    process_count: int = 1,
 ) -> model.Endpoint | None:
     """Returns the endpoint with the lowest cost for a call.
 
@@ -97,6 +101,7 @@
         rng: Random generator that draws among endpoints of similar cost, and
             whether the call leaves the preferred zone.
         zone_rule: When it pays to leave the preferred zone.
+        process_count: Number of processes that place calls.
 
     Returns:
         The endpoint, or None if there are no candidates.
@@ -115,28 +120,40 @@
     if home_costs and other_costs:
         gain = _find_lowest(home_costs) - _find_lowest(other_costs)
         leaves = rng.random() < zone_rule.compute_share(gain)
-        return _draw(other_costs if leaves else home_costs, service, rng)
-    return _draw(home_costs or other_costs, service, rng)
+        costs = other_costs if leaves else home_costs
+    else:
+        costs = home_costs or other_costs
+    if service.engine is None:
+        return _draw_plain(costs, rng)
+    return _draw_engine(costs, rng, process_count)
 
 
 def _find_lowest(costs: list[tuple[float, model.Endpoint]]) -> float:
     return min(cost for cost, _ in costs)
 
 
-def _draw(
+def _draw_plain(
+    costs: list[tuple[float, model.Endpoint]], rng: random.Random
+) -> model.Endpoint | None:
+    """Returns one of the cheapest endpoints of a plain service, or None."""
+    if not costs:
+        return None
+    limit = _find_lowest(costs) + _COST_TOLERANCE
+    return rng.choice([endpoint for cost, endpoint in costs if cost <= limit])
+
+
+def _draw_engine(
     costs: list[tuple[float, model.Endpoint]],
-    service: model.Service,
     rng: random.Random,
+    process_count: int,
 ) -> model.Endpoint | None:
-    """Returns an endpoint of low cost, or None if there is none."""
+    """Returns an engine of low cost, or None if there is none."""
     if not costs:
         return None
     lowest = _find_lowest(costs)
-    if service.engine is None:
-        limit = lowest + _COST_TOLERANCE
-        cheapest = [endpoint for cost, endpoint in costs if cost <= limit]
-        return rng.choice(cheapest)
-    weights = [math.exp((lowest - cost) / _COST_SPREAD) for cost, _ in costs]
+    spread = _COST_SPREAD_PER_PROCESS * process_count
+    spread = min(_MAX_COST_SPREAD, max(_MIN_COST_SPREAD, spread))
+    weights = [math.exp((lowest - cost) / spread) for cost, _ in costs]
     return rng.choices([endpoint for _, endpoint in costs], weights)[0]
 
 
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -206,6 +206,7 @@
             endpoint_selection.Work(memory_tokens, prompt_tokens),
             self._rng,
             self._make_zone_rule(service, other_zone_cost),
+            len(self._membership.list_members()),
         )
 
     def _make_zone_rule(
--- a/libs/routing/tests/test_endpoint_pace.py
+++ b/libs/routing/tests/test_endpoint_pace.py
@@ -166,6 +166,7 @@
                     endpoint_selection.Work(3_800, 3_000),
                     rng,
                     zone_share.make_step(0.03),
+                    process_count=72,
                 ).endpoint_id
                 for _ in range(8)
             ]
