Build the set of engines to keep once, not once for each process

Cause: each second, EndpointPaces.retain made the same set of endpoint ids for each peer.

Change: it is made once. Behaviour is the same.

--- a/libs/routing/src/dandelionlead/routing/endpoint_pace.py
+++ b/libs/routing/src/dandelionlead/routing/endpoint_pace.py
@@ -186,8 +186,9 @@
 
     def retain(self, endpoint_ids: Collection[str]) -> None:
         """Forgets all engines but those with the ids given."""
+        kept_ids = set(endpoint_ids)
         for items in (self._paces, self._own, *self._peer_counts.values()):
-            for endpoint_id in items.keys() - set(endpoint_ids):
+            for endpoint_id in items.keys() - kept_ids:
                 del items[endpoint_id]
 
     def compute_slowness(self, endpoint_id: str, now_s: float) -> float:
