Stop a silent run at its engine before it goes on at another one

Cause: Resumption.resume_silent_run closed the connection to the silent engine and took that for the end of the run.

Change: gateway.run_stopping holds the request for the final copy, for migrations and for all resumptions. A silent engine is asked over a new connection to stop the run. It keeps the run unless it has stopped it, has ended, or cannot be reached in 0.1 s. Related paths, same cause: a silence after a refused final copy, silent runs that may be repeated, broken connections to engines that live (all mended); migrations (already stopped first); attempts without a response head (not runs that go on).

Why it works: the response states whether the engine has the run, and the engine stops a run before it makes the copy, so that no response in time means stopped, or not reached.

Tests that changed: the table of SilentEngineTest sent a run on while its engine, which could be reached, worked on; its rows stand with an engine that cannot be reached, and TwoEnginesTest has the engines that can.

--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -53,6 +53,7 @@
         timeout_s: float,
         *,
         must_send_once: bool = False,
+        must_be_new: bool = False,
     ) -> client.ClientConnection | errors.Failure:
         """Removes an idle connection from the pool, or opens a new one.
 
@@ -61,6 +62,7 @@
             timeout_s: Longest time for opening a connection, in seconds;
                 `CONNECT_TIMEOUT_S` applies as well.
             must_send_once: Whether the request must not be sent a second time.
+            must_be_new: Whether no idle connection may be used.
 
         Returns:
             The connection, or an `ENDPOINT_UNREACHABLE` failure.
@@ -70,6 +72,8 @@
         if must_send_once:
             idle_limit_s = min(idle_limit_s, MAX_IDLE_NON_REPEATABLE_S)
         idle_conns = self._idle_conns.get(endpoint.endpoint_id, [])
+        if must_be_new:
+            idle_conns = []
         # The connection with the shortest idle time is last.
         while (
             idle_conns and now_s - idle_conns[-1].idle_since_s <= idle_limit_s
--- a/libs/gateway/src/dandelionlead/gateway/evacuation.py
+++ b/libs/gateway/src/dandelionlead/gateway/evacuation.py
@@ -17,16 +17,15 @@
 from collections.abc import Callable
 
 import eventlet
-import eventlet.event
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.core import hashing
 from dandelionlead.gateway import platform_codec
+from dandelionlead.gateway import run_stopping
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sending
-from dandelionlead.routing import calls
 from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import scheduling
@@ -39,8 +38,6 @@
 # stop soon.
 FORCED_STOP_DELAY_S = 1.4
 COPY_TIMEOUT_S = 2.0
-# Longest wait for the response to the request for the final copy.
-FINAL_COPY_TIMEOUT_S = 1.0
 # A process waits for its turn at most this long for each unsaved run of the
 # processes ranked before it, and at most MAX_TURN_WAIT_S in total.
 TURN_WAIT_PER_RUN_S = 0.35
@@ -48,11 +45,7 @@
 # Repeatable runs are mostly short. They get this time from the leaving notice
 # to end before they are migrated.
 REPEATABLE_RUN_GRACE_S = 0.7
-# Statuses of the response to the request for the final copy: the engine has no
-# such run any more, or another copy of the run is still in progress.
-_NOT_STOPPED_STATUSES = (404, 409)
 _RETRY_PAUSE_S = 0.02
-_FREE_COPY_TIMEOUT_S = 0.5
 # Added to the scheduler's cost of a target in another availability zone, since
 # a copy to it occupies the link for twice as long.
 _OTHER_ZONE_COST = 0.4
@@ -75,6 +68,7 @@
         scheduler: scheduling.Scheduler,
         view: routing_view.RoutingView,
         log: events.Log,
+        run_stopper: run_stopping.RunStopper,
         on_queue_empty: Callable[[Evacuation], None],
     ) -> None:
         """Creates an evacuation without runs.
@@ -85,7 +79,8 @@
             codec: Encodes control requests for the platform.
             scheduler: Chooses the engines that receive the runs.
             view: Holds which engines are leaving.
-            log: Receives one line for each copy and each stop of a run.
+            log: Receives one line for each copy of a run.
+            run_stopper: Stops runs, and frees copies that are not used.
             on_queue_empty: Called with the evacuation whenever its queue has
                 become empty.
         """
@@ -96,6 +91,7 @@
         self._scheduler = scheduler
         self._view = view
         self._log = log
+        self._run_stopper = run_stopper
         self._on_queue_empty = on_queue_empty
         self._queue: collections.deque[runs.Run] = collections.deque()
         self._is_worker_running = False
@@ -111,14 +107,6 @@
             self._is_worker_running = True
             eventlet.spawn_n(self._migrate_queued_runs)
 
-    def free_copy(self, handle: str) -> None:
-        """Requests in the background that the source frees an unused copy.
-
-        Args:
-            handle: Identifies the copy at the source engine.
-        """
-        eventlet.spawn_n(self._free_copy, handle)
-
     def _migrate_queued_runs(self) -> None:
         """Migrates the queued runs, in order, until the queue is empty."""
         self._await_turn()
@@ -236,7 +224,7 @@
         copy = run.memory_copy
         run.clear_copy(self._scheduler.load_tracker)
         if copy is not None:
-            self.free_copy(copy.handle)
+            self._run_stopper.free_copy(self.source, copy.handle)
 
     def _copy(self, run: runs.Run, excluded_ids: set[str]) -> float | None:
         """Copies a run's KV cache once to its target while the run continues.
@@ -272,7 +260,7 @@
         if run.copy_target is not target:
             self._log_event(run, "copy_given_up", target, status=status)
             if copy is not None:
-                self._free_copy(copy.handle)
+                self._run_stopper.free_copy(self.source, copy.handle)
             return None
         if status == 200 and copy is not None:
             run.memory_copy = copy
@@ -294,62 +282,18 @@
         return None
 
     def _stop(self, run: runs.Run, copy_count: int) -> None:
-        """Requests the final copy of a run, which stops the run.
-
-        Sets `run.stop_event`, on which the relay waits before it resumes the
-        run.
+        """Stops a run with its final copy; the relay then resumes it.
 
         Args:
             run: The run.
             copy_count: Number of copies made before, for the log.
         """
-        stop_event = run.stop_event = eventlet.event.Event()
-        requested_s = clock.boottime()
-        target = run.copy_target
-        request = self._codec.encode_copy_request(
-            self.source, target, run.request_id, stops_source=True
-        )
-        result = self._sender.send_control_request(
-            self.source, request, FINAL_COPY_TIMEOUT_S
-        )
-        status = 0
-        stop_result = runs.StopResult.UNKNOWN
-        if not isinstance(result, errors.Failure):
-            status, body = result
-            copy = self._codec.decode_copy_response(body)
-            stop_result = _find_stop_result(status, copy)
-            if copy is not None:
-                self._set_copy(run, copy)
-        stop_took_s = clock.boottime() - requested_s
-        self._log_event(
+        self._run_stopper.stop(
             run,
-            "run_stopped",
-            target,
-            status=status,
-            result=stop_result.value,
+            run.copy_target,
             copies=copy_count,
-            stop_ms=int(stop_took_s * 1e3),
             since_notice_ms=int(self._since_notice_s() * 1e3),
         )
-        stop_event.send(stop_result)
-
-    def _set_copy(self, run: runs.Run, copy: calls.MemoryCopy) -> None:
-        """Sets a run's newest copy unless the run has ended or was resumed."""
-        if self._is_at_source(run) and run.copy_target is not None:
-            run.memory_copy = copy
-
-    def _free_copy(self, handle: str) -> None:
-        """Requests that the source engine frees a copy; logs a failure."""
-        request = self._codec.encode_free_copy_request(self.source, handle)
-        result = self._sender.send_control_request(
-            self.source, request, _FREE_COPY_TIMEOUT_S
-        )
-        if isinstance(result, errors.Failure):
-            self._log.event(
-                "copy_not_freed",
-                endpoint=self.source.endpoint_id,
-                reason=result.reason,
-            )
 
     def _log_event(
         self,
@@ -366,21 +310,3 @@
             target=target.endpoint_id if target else "",
             **fields,
         )
-
-
-def _find_stop_result(
-    status: int, copy: calls.MemoryCopy | None
-) -> runs.StopResult:
-    """Returns what the response to the request for the final copy shows.
-
-    Args:
-        status: HTTP status of the response.
-        copy: The copy that the response names; None if it names none. An engine
-            that has stopped the run names its copy even if the other engine
-            had no room for it.
-    """
-    if status == 200 or copy is not None:
-        return runs.StopResult.STOPPED
-    if status in _NOT_STOPPED_STATUSES:
-        return runs.StopResult.NOT_STOPPED
-    return runs.StopResult.UNKNOWN
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -157,6 +157,8 @@
                     current_response = self._resumption.resume_silent_run(
                         ended_response
                     )
+                    if current_response is ended_response:
+                        self._pace.record_kept()
                     if current_response is not None:
                         continue
                 ended_response.close()
--- a/libs/gateway/src/dandelionlead/gateway/resumption.py
+++ b/libs/gateway/src/dandelionlead/gateway/resumption.py
@@ -29,9 +29,12 @@
 _STOP_TIMEOUT_S = 1.0
 # Longest wait for the response head of an engine that resumes a run.
 _RESUME_TIMEOUT_S = 1.5
-# Time for which a silent engine keeps its run while another engine is asked to
-# resume it. It is shorter than the time for which both may work on the run.
+# Time for which the connection to a silent engine that cannot be reached is
+# kept while another engine is asked to resume the run.
 _MAX_OVERLAP_S = 0.35
+# Longest wait for an engine's statement that it does not stop a run. An engine
+# that can be reached and stops the run is busy with the final copy after that.
+_REFUSAL_TIMEOUT_S = 0.1
 # Limit on the attempts to resume one run.
 _MAX_RESUMPTIONS = 12
 
@@ -94,12 +97,13 @@
         self._stream_checks.drop_incomplete_event()
         self._failed_ids.add(run.endpoint.endpoint_id)
         if run.stop_event is not None:
-            self.await_stop()
+            self._await_stop_or_backup()
         elif failure.kind is not errors.Kind.ENDPOINT_SILENT:
             now_s = clock.boottime()
             self._scheduler.health_tracker.record_unreachable(
                 run.endpoint.endpoint_id, now_s
             )
+            self._stop_broken_run()
         for _ in range(_MAX_RESUMPTIONS):
             if run.resumption_count >= _MAX_RESUMPTIONS:
                 return None
@@ -115,17 +119,13 @@
         return None
 
     def may_return_to_source(self, failure: errors.Failure) -> bool:
-        """Whether a run may go on at its engine if it cannot be resumed.
+        """Whether a run may go on at its engine after its response failed.
 
-        This is the case if the engine is only silent and was not asked to stop
-        the run. A resumable run is started anew at another engine instead.
+        This is the case if the engine is only silent.
         """
-        run = self._run
         return (
             failure.kind is errors.Kind.ENDPOINT_SILENT
-            and run.stop_event is None
-            and not run.admitted.route.resumable
-            and clock.boottime() < run.admitted.deadline_s
+            and clock.boottime() < self._run.admitted.deadline_s
         )
 
     def resume_silent_run(
@@ -133,18 +133,26 @@
     ) -> sending.EndpointResponse | None:
         """Resumes a run from its copy or backup after its engine fell silent.
 
-        The engine may be alive, for example if the link of this process is
-        busy. Its connection is therefore kept until another engine responds,
-        but no longer than `_MAX_OVERLAP_S`.
+        The engine may be alive: the link of this process may be busy, the
+        connection dead, or the run preempted. Therefore the engine is asked to
+        stop the run first, over a new connection. The run stays where it is if
+        the engine responds that it has not stopped it.
+
+        If the engine cannot be reached, its connection is kept until another
+        engine responds, but no longer than `_MAX_OVERLAP_S`.
 
         Args:
             source_response: The response of the silent engine.
 
         Returns:
-            The response that continues the stream, which is the one that was
-            passed in if no other engine can resume the run. None if its
-            connection was closed meanwhile.
+            The response that continues the stream, which may be the one that
+            was passed in. None if no engine does, and the run is not at its
+            engine any more.
         """
+        result = self._stop_at_engine()
+        if result in (runs.StopResult.NOT_STOPPED, runs.StopResult.UNKNOWN):
+            self._log_kept_run(result.value)
+            return source_response
         source = self._run.endpoint
         closing = eventlet.spawn_after(_MAX_OVERLAP_S, source_response.close)
         response = self._resume_from_copy() or self._resume_from_backup()
@@ -153,16 +161,15 @@
             source_response.close()
             self._stream_checks.drop_incomplete_event()
             return response
-        if source_response.is_closed:
+        if (
+            source_response.is_closed
+            or result is runs.StopResult.STOPPED
+            or self._run.admitted.route.resumable
+        ):
             return None
         self._assign(source)
         self._run_supervisor.register(self._run)
-        self._log.event(
-            "run_kept",
-            req=self._run.request_id,
-            endpoint=source.endpoint_id,
-            after=self._stream_checks.last_event_id,
-        )
+        self._log_kept_run("no other engine resumes it")
         return source_response
 
     def await_stop(self) -> runs.StopResult:
@@ -171,9 +178,78 @@
         Returns:
             The result; `UNKNOWN` also if there is none in time.
         """
-        with eventlet.Timeout(_STOP_TIMEOUT_S, False):
+        return self._await_stop_result(_STOP_TIMEOUT_S) or (
+            runs.StopResult.UNKNOWN
+        )
+
+    def _stop_broken_run(self) -> None:
+        """Stops a run whose response broke off, if it may go on elsewhere.
+
+        The engine may be alive and go on with the run. A run that had neither a
+        copy nor a backup goes on as a new one, which its route limits.
+        """
+        run = self._run
+        had_copy = run.copy_target is not None or run.backup_engine is not None
+        self._stop_at_engine()
+        if not had_copy:
+            self._run_supervisor.drop_copy(run)
+
+    def _stop_at_engine(self) -> runs.StopResult | None:
+        """Requests that the run's engine stops it, if it may go on elsewhere.
+
+        Returns:
+            The result. None if there is none yet: either the engine cannot be
+            reached, or it has stopped the run and makes the final copy. None
+            also if no other engine can take the run.
+        """
+        run = self._run
+        if not run.is_stop_pending:
+            target = self._find_stop_target()
+            if target is None:
+                return None
+            self._run_supervisor.run_stopper.begin_stop(run, target)
+        return self._await_stop_or_backup()
+
+    def _find_stop_target(self) -> model.Endpoint | None:
+        """Returns the engine that receives the final copy of the run."""
+        run = self._run
+        target = run.copy_target or run.backup_engine
+        if target is not None or not run.admitted.route.resumable:
+            return target
+        return self._scheduler.choose_endpoint(
+            run.admitted.service,
+            run.memory_tokens,
+            clock.boottime(),
+            excluded_ids=self._failed_ids,
+        )
+
+    def _await_stop_or_backup(self) -> runs.StopResult | None:
+        """Waits for the result of a stop while the run needs it.
+
+        A run that can only go on from a copy needs the final one. Any other
+        run may resume before the final copy is made.
+        """
+        run = self._run
+        needs_copy = run.copy_target is not None and run.backup_engine is None
+        return self._await_stop_result(
+            _STOP_TIMEOUT_S if needs_copy else _REFUSAL_TIMEOUT_S
+        )
+
+    def _await_stop_result(self, timeout_s: float) -> runs.StopResult | None:
+        """Waits for the result of a stop; None if there is none in time."""
+        with eventlet.Timeout(timeout_s, False):
             return self._run.stop_event.wait()
-        return runs.StopResult.UNKNOWN
+        return None
+
+    def _log_kept_run(self, reason: str) -> None:
+        """Logs that a run stays at its silent engine."""
+        self._log.event(
+            "run_kept",
+            req=self._run.request_id,
+            endpoint=self._run.endpoint.endpoint_id,
+            after=self._stream_checks.last_event_id,
+            reason=reason,
+        )
 
     def _assign(
         self,
@@ -218,7 +294,7 @@
         )
         reservation, run.copy_reservation = run.copy_reservation, None
         run.memory_copy = run.copy_target = None
-        was_stopped = run.stop_event is not None
+        was_stopped = run.may_be_stopped
         response = None
         if self._run_supervisor.can_resume_at(target):
             response = self._resume_at(target, resumption, reservation)
--- a/libs/gateway/src/dandelionlead/gateway/runs.py
+++ b/libs/gateway/src/dandelionlead/gateway/runs.py
@@ -19,13 +19,16 @@
     Attributes:
         STOPPED: The engine has stopped the run.
         NOT_STOPPED: The engine states that this request did not stop the run,
-            which therefore ends by itself or had ended before.
+            which therefore ends by itself or had ended before. A run that was
+            preempted may also be unknown to the engine until it goes on.
+        UNREACHABLE: The engine has ended, or accepts no connection.
         UNKNOWN: The engine may have stopped the run. There was no response, or
             one that does not tell.
     """
 
     STOPPED = "stopped"
     NOT_STOPPED = "not_stopped"
+    UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
 
 
@@ -43,11 +46,13 @@
         is_migration_queued: Whether the run is queued for migration by an
             evacuation.
         memory_copy: The newest copy of the run's KV cache that was made for a
-            migration; None if there is no copy. Set by the evacuation, and
-            only while `copy_target` is the engine that the copy was made for.
-            Removed by the relay, before it tries to resume the run from it.
+            migration or to stop the run; None if there is no copy. Set by the
+            evacuation or the stop, and only while `copy_target` is the engine
+            that the copy was made for. Removed by the relay, before it tries
+            to resume the run from it.
         copy_target: The engine that receives the copies; None before it is
-            chosen. Set by the evacuation, removed together with `memory_copy`.
+            chosen. Set by the evacuation or the stop, removed together with
+            `memory_copy`.
         copy_reservation: The copy's share of the load of `copy_target`.
         stop_event: Event that is triggered when the request for the final copy
             ends; its value is a `StopResult`. None until the final copy is
@@ -110,6 +115,21 @@
         """Returns the request id of the call."""
         return self.admitted.call.request_id
 
+    @property
+    def is_stop_pending(self) -> bool:
+        """Whether a request for the final copy is in progress."""
+        return self.stop_event is not None and not self.stop_event.ready()
+
+    @property
+    def may_be_stopped(self) -> bool:
+        """Whether a request for the final copy may have stopped the run."""
+        if self.stop_event is None or self.is_stop_pending:
+            return self.stop_event is not None
+        return self.stop_event.wait() in (
+            StopResult.STOPPED,
+            StopResult.UNKNOWN,
+        )
+
     def clear_copy(self, load_tracker: loads.LoadTracker) -> None:
         """Removes the copy and its share of the target's load.
 
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -165,6 +165,8 @@
         endpoint: model.Endpoint,
         request: platform_codec.ControlRequest,
         timeout_s: float,
+        *,
+        new_connection_timeout_s: float | None = None,
     ) -> tuple[int, bytes] | errors.Failure:
         """Sends a control request and reads the complete response.
 
@@ -172,11 +174,19 @@
             endpoint: The endpoint that gets the request.
             request: The request.
             timeout_s: Longest time for the exchange, in seconds.
+            new_connection_timeout_s: Longest time for opening a connection for
+                the request, in seconds; None to use a pooled one, which may
+                have fallen silent.
 
         Returns:
             HTTP status and body, or a failure.
         """
-        conn = self._pool.acquire(endpoint, timeout_s)
+        is_new = new_connection_timeout_s is not None
+        conn = self._pool.acquire(
+            endpoint,
+            new_connection_timeout_s if is_new else timeout_s,
+            must_be_new=is_new,
+        )
         if isinstance(conn, errors.Failure):
             return conn
         is_reusable = False
--- a/libs/gateway/src/dandelionlead/gateway/stream_pace.py
+++ b/libs/gateway/src/dandelionlead/gateway/stream_pace.py
@@ -30,6 +30,7 @@
         "longest_gap_s",
         "_last_write_s",
         "_mean_gap_s",
+        "_silence_factor",
     )
 
     def __init__(self) -> None:
@@ -37,6 +38,7 @@
         self.longest_gap_s = 0.0
         self._last_write_s = 0.0
         self._mean_gap_s = MIN_SILENCE_S / SILENCE_GAP_FACTOR
+        self._silence_factor = 1.0
 
     def record_progress(self) -> None:
         """Records that the engine has made progress now."""
@@ -46,18 +48,27 @@
         """Records that the response to the caller starts now."""
         self._last_write_s = now_s
 
+    def record_kept(self) -> None:
+        """Records that the silent engine keeps the run.
+
+        Until its next event, the silence after which it is asked again is
+        twice as long each time.
+        """
+        self._silence_factor *= 2.0
+
     def record_write(self) -> None:
         """Records that events are written to the caller now."""
         now_s = clock.boottime()
         gap_s = now_s - self._last_write_s
         self.longest_gap_s = max(self.longest_gap_s, gap_s)
         self._last_write_s = now_s
+        self._silence_factor = 1.0
         self._mean_gap_s += _GAP_WEIGHT * (gap_s - self._mean_gap_s)
 
     def compute_silence_timeout_s(self) -> float:
         """Returns after how many seconds without an event a run is resumed."""
-        timeout_s = SILENCE_GAP_FACTOR * self._mean_gap_s
-        return min(MAX_SILENCE_S, max(MIN_SILENCE_S, timeout_s))
+        timeout_s = max(MIN_SILENCE_S, SILENCE_GAP_FACTOR * self._mean_gap_s)
+        return min(MAX_SILENCE_S, timeout_s * self._silence_factor)
 
     def is_silent(self) -> bool:
         """Returns whether no event has been complete for that time."""
--- a/libs/gateway/src/dandelionlead/gateway/supervisor.py
+++ b/libs/gateway/src/dandelionlead/gateway/supervisor.py
@@ -15,6 +15,7 @@
 from dandelionlead.core import events
 from dandelionlead.gateway import evacuation
 from dandelionlead.gateway import platform_codec
+from dandelionlead.gateway import run_stopping
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sending
 from dandelionlead.routing import model
@@ -36,6 +37,9 @@
         view: Holds which engines are leaving and which availability zones are
             closed; the supervisor adds its callbacks to the view's listeners.
         log: Receives one line for each leaving notice.
+
+    Attributes:
+        run_stopper: Stops runs, and frees copies that are not used.
     """
 
     def __init__(
@@ -51,6 +55,9 @@
         self._scheduler = scheduler
         self._view = view
         self._log = log
+        self.run_stopper = run_stopping.RunStopper(
+            sender, codec, scheduler, log
+        )
         self._runs: dict[str, set[runs.Run]] = {}
         # Evacuations by the incarnation of their engine.
         self._evacuations: dict[str, evacuation.Evacuation] = {}
@@ -180,9 +187,8 @@
         """Removes a run's unused copy; requests that its source frees it."""
         copy = run.memory_copy
         run.clear_copy(self._scheduler.load_tracker)
-        engine_evacuation = self._evacuations.get(run.endpoint.incarnation)
-        if copy is not None and engine_evacuation is not None:
-            engine_evacuation.free_copy(copy.handle)
+        if copy is not None:
+            self.run_stopper.free_copy(run.endpoint, copy.handle)
 
     def _is_usable(self, backup_engine: model.Endpoint) -> bool:
         """Returns whether an engine may keep the backups that it holds."""
@@ -247,6 +253,7 @@
                 self._scheduler,
                 self._view,
                 self._log,
+                self.run_stopper,
                 self._schedule_removal,
             )
             self._evacuations[incarnation] = engine_evacuation
@@ -255,12 +262,12 @@
     def _schedule_removal(
         self, finished_evacuation: evacuation.Evacuation
     ) -> None:
-        """Removes an evacuation after `FINAL_COPY_TIMEOUT_S`.
+        """Removes an evacuation after `run_stopping.FINAL_COPY_TIMEOUT_S`.
 
         By then, this process normally has no more runs on the engine.
         """
         eventlet.spawn_after(
-            evacuation.FINAL_COPY_TIMEOUT_S,
+            run_stopping.FINAL_COPY_TIMEOUT_S,
             self._remove_evacuation,
             finished_evacuation.source,
         )
--- a/libs/gateway/tests/engine_fakes.py
+++ b/libs/gateway/tests/engine_fakes.py
@@ -17,6 +17,8 @@
 from dandelionlead.routing import model
 
 EVENT_INTERVAL_S = 0.1
+# Longest time for which an engine may work on a run that goes on elsewhere.
+MAX_OVERLAP_S = 0.4
 _COPY_S = 0.05
 _POLL_S = 0.02
 _NOT_RUN_STATUS = 503
@@ -34,6 +36,7 @@
         request_id: Id of the call.
         next_event: Number of the next event.
         event_count: Number of the last event.
+        begun_s: Time in seconds at which it began here.
         is_stopped: Whether a final copy has stopped the run.
         is_over: Whether the run has ended.
     """
@@ -42,6 +45,7 @@
         "request_id",
         "next_event",
         "event_count",
+        "begun_s",
         "is_stopped",
         "is_over",
     )
@@ -52,6 +56,7 @@
         self.request_id = request_id
         self.next_event = next_event
         self.event_count = event_count
+        self.begun_s = clock.boottime()
         self.is_stopped = False
         self.is_over = False
 
@@ -67,9 +72,11 @@
         sends_length: Whether the end of its streams is explicit; otherwise they
             end with their connections.
         rejects: Whether it rejects calls.
+        drops: Whether a run ends when its connection closes.
         final_copy: What becomes of the request for a final copy, which stops
             the run in any case: `answered`, `refused` (503 with the copy),
-            `late` (after the time limit) or `lost` (the engine ends).
+            `late` (after the time limit) or `lost` (the engine ends). The run
+            goes on if it is `unknown` to the engine (404): it was preempted.
         copy: What becomes of the request for a copy that does not stop the
             run: `answered`, `refused` (503), or `late` (after the time limit).
         begun_ids: Ids of the calls that it began to run without a copy.
@@ -83,6 +90,7 @@
         self.is_gone = False
         self.sends_length = True
         self.rejects = False
+        self.drops = True
         self.final_copy = "answered"
         self.copy = "answered"
         self.begun_ids: list[str] = []
@@ -128,8 +136,9 @@
         return b""
 
     def close(self) -> None:
-        """Cancels the run."""
-        self._run.is_over = True
+        """Closes the connection, which ends the run if the engine drops it."""
+        if self._engine.drops or self._run.next_event > self._run.event_count:
+            self._run.is_over = True
 
 
 class FakeSender:
@@ -142,6 +151,7 @@
     Attributes:
         activity: Records large bodies; there are none.
         sent_ids: Ids of the calls that were sent to an engine.
+        overlaps: What two engines have worked on for too long.
     """
 
     def __init__(
@@ -151,6 +161,7 @@
         self._engines = engines
         self._event_counts = event_counts
         self.sent_ids: set[str] = set()
+        self.overlaps: list[str] = []
 
     def send_call(
         self,
@@ -188,11 +199,27 @@
             engine.begun_ids.append(request_id)
         run = EngineRun(request_id, first_event, self._event_counts[request_id])
         engine.runs[request_id] = run
+        eventlet.spawn_after(MAX_OVERLAP_S, self._check_overlap, engine, run)
         head = calls.EndpointResponseHead(
             200, [], ends_with_connection=not engine.sends_length
         )
         return sending.EndpointResponse(endpoint, EngineConn(engine, run), head)
 
+    def _check_overlap(self, engine: FakeEngine, run: EngineRun) -> None:
+        """Records engines that still work on a run that goes on elsewhere."""
+        for other in self._engines.values():
+            earlier = other.runs.get(run.request_id)
+            if (
+                earlier is not None
+                and other is not engine
+                and not other.is_gone
+                and not (earlier.is_over or earlier.is_stopped)
+                and earlier.begun_s < run.begun_s
+            ):
+                self.overlaps.append(
+                    f"{run.request_id} at {other.endpoint.endpoint_id}"
+                )
+
     def return_conn(self, response: sending.EndpointResponse) -> None:
         """Does nothing: each call has a connection of its own."""
         response.is_pooled = True
@@ -202,6 +229,8 @@
         endpoint: model.Endpoint,
         request: tuple[str, str, bool],
         timeout_s: float,
+        *,
+        new_connection_timeout_s: float | None = None,
     ) -> tuple[int, bytes] | errors.Failure:
         """Copies a run, or stops it with a final copy."""
         engine = self._engines[endpoint.endpoint_id]
@@ -219,6 +248,8 @@
             if engine.copy == "refused":
                 return 503, b""
             return (404, b"") if run.is_over else (200, b"copied")
+        if engine.final_copy == "unknown":
+            return 404, b""
         run.is_stopped = True
         if engine.final_copy == "late":
             eventlet.sleep(timeout_s)
--- a/libs/gateway/tests/test_call_ends_fuzz.py
+++ b/libs/gateway/tests/test_call_ends_fuzz.py
@@ -4,8 +4,9 @@
 final copies and the stop of the process, in simulated time. Each call must end
 with the whole answer, with a refusal that is true and prompt, with an error, or
 with an answer that is visibly cut short. The reviewed cases 1 (a stopped stream
-that looked complete), 2 (no answer to a queued call at a stop) and 3 (a call
-that a stopping process took too late) are orders of events like these.
+that looked complete), 2 (no answer to a queued call at a stop), 3 (a call that
+a stopping process took too late) and 9 (two engines that work on one run) are
+orders of events like these.
 """
 
 from __future__ import annotations
@@ -247,14 +248,23 @@
         """The runs of an engine send nothing for some time."""
         self._get_engine(number).silent_until_s = _HUB.now_s + seconds
 
+    @stateful.rule(number=_engine_numbers, seconds=strategies.floats(0.2, 3.0))
+    def preempt(self, number: int, seconds: float) -> None:
+        """An engine preempts its runs, and drops none from now on."""
+        engine = self._get_engine(number)
+        engine.silent_until_s = _HUB.now_s + seconds
+        engine.final_copy = "unknown"
+        engine.drops = False
+
     @stateful.rule(
         number=_engine_numbers,
         sends_length=strategies.booleans(),
         rejects=strategies.booleans(),
         copy=strategies.sampled_from(("answered", "refused", "late")),
         final_copy=strategies.sampled_from(
-            ("answered", "refused", "late", "lost")
+            ("answered", "refused", "late", "lost", "unknown")
         ),
+        drops=strategies.booleans(),
     )
     def change_engine(
         self,
@@ -263,6 +273,7 @@
         rejects: bool,
         copy: str,
         final_copy: str,
+        drops: bool,
     ) -> None:
         """An engine behaves in another way from now on."""
         engine = self._get_engine(number)
@@ -271,6 +282,7 @@
         engine.rejects = rejects
         engine.copy = copy
         engine.final_copy = final_copy
+        engine.drops = drops
 
     @stateful.rule(number=_engine_numbers)
     def renew_entry(self, number: int) -> None:
@@ -344,6 +356,7 @@
         for thread in list(self.listener.connections):
             thread.kill()
         assert "fault" not in self.log.names
+        assert not self.sender.overlaps, "two engines work on a run"
         for sent_call in self.sent_calls:
             self._check_end(sent_call)
 
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -46,6 +46,14 @@
 )
 
 
+_UNREACHABLE = errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "refused")
+
+
+def _describe(point: calls.ResumePoint) -> tuple[object, str, int]:
+    """Returns what tells two points of resumption apart."""
+    return point.handle_address, point.handle, point.last_event_id
+
+
 class _FakeCodec:
     """Encodes control requests as tuples.
 
@@ -72,16 +80,26 @@
         self.call_count = 0
         # Seconds until the response to a call, its status and its connection.
         self.resumed = (0.0, 503, _FakeConn())
+        # Seconds until the response to a request for a final copy, and this
+        # response; None to treat it like that to any other copy.
+        self.final_copy: tuple[float, object] | None = None
+        # Points at which calls that were sent resume their runs.
+        self.resume_points: list[calls.ResumePoint] = []
 
-    def send_call(self, admitted, endpoint, head_deadline_s, **_):
+    def send_call(self, admitted, endpoint, head_deadline_s, **options):
         self.call_count += 1
+        self.resume_points.append(options.get("resumption"))
         delay_s, status, conn = self.resumed
         eventlet.sleep(delay_s)
         head = calls.EndpointResponseHead(status, [])
         return sending.EndpointResponse(endpoint, conn, head)
 
-    def send_control_request(self, endpoint, request, timeout_s):
+    def send_control_request(self, endpoint, request, timeout_s, **_):
         self.requests.append(request)
+        if self.final_copy is not None and request[2] is True:
+            delay_s, response = self.final_copy
+            eventlet.sleep(delay_s)
+            return response
         eventlet.sleep(0.01)
         if request[1] in self.full_ids:
             return 503, b""
@@ -315,7 +333,7 @@
     def test_copy_that_was_given_up_is_not_used(self) -> None:
         requests = []
 
-        def respond(endpoint, request, timeout_s):
+        def respond(endpoint, request, timeout_s, **_):
             requests.append(request)
             if len(requests) == 1:
                 eventlet.sleep(evacuation.FINAL_COPY_THRESHOLD_S + 0.02)
@@ -573,12 +591,16 @@
     """Guards against the loss of a run whose engine was only silent.
 
     Load pattern: a large row of the store fills the link of the process for
-    half a second, so that the streams of live engines arrive late. Backups are
-    not complete yet, or have no room.
+    half a second, so that the streams of live engines arrive late. The engines
+    cannot be reached meanwhile. Backups are not complete yet, or have no room.
     """
 
     SILENCE = errors.Failure(errors.Kind.ENDPOINT_SILENT, "silent")
 
+    def setUp(self) -> None:
+        super().setUp()
+        self.sender.final_copy = (0.0, _UNREACHABLE)
+
     def _start_run_with_backup(self) -> runs.Run:
         run = self.start_run("e0")
         run.admitted.deadline_s = clock.boottime() + 5.0
@@ -638,6 +660,84 @@
                 self.assertEqual(self.sender.call_count > 0, is_resumed)
 
 
+class TwoEnginesTest(_RelayCase):
+    """Guards against two engines that work on one run.
+
+    Review case 9: a run that was preempted for half a second went on at the
+    engine with its backup, and its first engine, which does not drop a run
+    whose connection closes, worked on it to its end.
+    """
+
+    EVENT = b"id: 1\ndata: a\n\n"
+    REST = b"id: 2\ndata: b\n\n"
+    BACKUP = calls.ResumePoint(("10.0.0.1", 1), "r", 1)
+    COPY = calls.ResumePoint(("10.0.0.1", 0), "handle", 1)
+    # Seconds until the engine responds to the request to stop the run, its
+    # response, where the run goes on if the engine is silent, and where if it
+    # has closed the connection; None for where it is.
+    CASES = (
+        # It has no such run now: a run that was preempted goes on there.
+        (0.0, (404, b""), None, BACKUP),
+        (0.0, (409, b""), None, BACKUP),
+        # It does not say whether it has stopped the run.
+        (0.0, (500, b""), None, BACKUP),
+        (0.0, (503, b""), None, BACKUP),
+        (0.0, errors.Failure(errors.Kind.ENDPOINT_FAILED, "-"), None, BACKUP),
+        # It has stopped the run.
+        (0.0, (200, b"copied"), COPY, COPY),
+        (0.0, (503, b"copied"), COPY, COPY),
+        # It has stopped the run, and the final copy takes long.
+        (0.4, (200, b"copied"), BACKUP, BACKUP),
+        # Another instance has its address; it accepts no connection.
+        (0.0, (421, b""), BACKUP, BACKUP),
+        (0.0, _UNREACHABLE, BACKUP, BACKUP),
+    )
+
+    def play(
+        self, failure: errors.Failure, delay_s: float, response: object
+    ) -> relay.Outcome:
+        """Relays a run with a backup whose engine fails after one event."""
+        self.setUp()
+        run = self.start_run("e0")
+        run.admitted.deadline_s = clock.boottime() + 5.0
+        run.backup_engine = self.view.endpoints["e1"]
+        self.sender.final_copy = (delay_s, response)
+        self.sender.resumed = (0.0, 200, _FakeConn(self.REST))
+        writer = _FakeResponseWriter()
+        outcome = self.relay(
+            run, writer, _FakeConn(self.EVENT, failure, self.REST)
+        )
+        self.assertTrue(outcome.is_complete)
+        self.assertEqual(writer.body, self.EVENT + self.REST)
+        return outcome
+
+    def test_run_goes_on_elsewhere_only_if_its_engine_has_it_no_more(
+        self,
+    ) -> None:
+        silent = errors.Failure(errors.Kind.ENDPOINT_SILENT, "silent")
+        broken = errors.Failure(errors.Kind.ENDPOINT_FAILED, "closed")
+        for delay_s, response, after_silence, after_break in self.CASES:
+            for failure, point in (
+                (silent, after_silence),
+                (broken, after_break),
+            ):
+                with self.subTest(failure.kind, response=response):
+                    outcome = self.play(failure, delay_s, response)
+                    points = [] if point is None else [point]
+                    self.assertEqual(
+                        [_describe(item) for item in self.sender.resume_points],
+                        [_describe(item) for item in points],
+                    )
+                    endpoint_id = "e0" if point is None else "e1"
+                    self.assertEqual(outcome.last_endpoint_id, endpoint_id)
+
+    def test_copy_that_comes_too_late_is_freed(self) -> None:
+        silent = errors.Failure(errors.Kind.ENDPOINT_SILENT, "silent")
+        self.play(silent, 0.2, (200, b"copied"))
+        eventlet.sleep(0.2)
+        self.assertIn(("e0", "free", "handle"), self.sender.requests)
+
+
 class StalledEngineTest(_RelayCase):
     """Guards against streams that stall, and against slow ones that are cut.
 
@@ -739,7 +839,7 @@
                 self.setUp()
                 responses = [(200, b"copied"), response]
                 self.sender.send_control_request = (
-                    lambda *_, responses=responses: responses.pop(0)
+                    lambda *_, responses=responses, **__: responses.pop(0)
                 )
                 run = self.start_run("e0")
                 self.view.mark_leaving("e0")
@@ -854,7 +954,7 @@
 
     def test_failed_copies_do_not_block_the_process(self) -> None:
         failure = errors.Failure(errors.Kind.ENDPOINT_FAILED, "gone")
-        self.sender.send_control_request = lambda *_: failure
+        self.sender.send_control_request = lambda *_, **__: failure
         self.start_run("e0")
         self.view.mark_leaving("e0")
         eventlet.sleep(0.1)
