Count the bodies of all responses with what callers hold

What callers saw (another operator's report, and the users' runs on arm64): workers that send a body without end take the memory of the process that called them, up to 442 MB where 128 MB are the limit; the process ends, and the calls of others with it (LOST).

Cause: each body was limited to 8 MB, and nothing counted them together; http.intake counted what callers send alone. Same cause on related paths, found by tests: error responses that are kept for a retry (mended); pages and long polls of the store, refusals, status checks, responses to earlier requests (mended by the same mechanism). Not in the account: copies of tables between our own processes, JSON of a page, 64 KB in each parser.

Change: http.intake has accounts of response bodies beside those of callers: one limit, one choice of who makes room. ClientConnection.receive_body, by which all whole bodies are read, takes room as bytes arrive and gives it back. A body that must make room is dropped at once. gateway.held_response counts an error response that is kept. Large bodies are passed on in blocks, which are freed as they are written.

Why it works: no body grows without room, and who holds the most for the longest time ends first, which is the endless one.

--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -8,6 +8,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.http import client
+from dandelionlead.http import intake
 from dandelionlead.routing import model
 
 # A connection can permanently stop delivering data without being closed.
@@ -40,10 +41,17 @@
         get_share: Returns how many of the connections that an endpoint accepts
             this process may hold. At most half of them, but at least one, may
             be idle.
+        memory: Counts the bodies that all connections read; None for an account
+            of each.
     """
 
-    def __init__(self, get_share: Callable[[model.Endpoint], int]) -> None:
+    def __init__(
+        self,
+        get_share: Callable[[model.Endpoint], int],
+        memory: intake.Intake | None = None,
+    ) -> None:
         self._get_share = get_share
+        self._memory = memory
         self._idle_conns: dict[str, list[client.ClientConnection]] = {}
         self._idle_limits_s: dict[str, float] = {}
 
@@ -84,7 +92,7 @@
                 return conn
             conn.close()
         return client.connect(
-            endpoint.address, min(CONNECT_TIMEOUT_S, timeout_s)
+            endpoint.address, min(CONNECT_TIMEOUT_S, timeout_s), self._memory
         )
 
     def release(
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -17,12 +17,14 @@
 from dandelionlead.gateway import call_reporting
 from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import endpoint_finder
+from dandelionlead.gateway import held_response
 from dandelionlead.gateway import open_calls
 from dandelionlead.gateway import relay
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sending
 from dandelionlead.gateway import serving
 from dandelionlead.gateway import supervisor
+from dandelionlead.http import intake
 from dandelionlead.http import server
 from dandelionlead.routing import attempt_timeout
 from dandelionlead.routing import calls
@@ -54,6 +56,7 @@
             it broke.
         endpoint_finder: Chooses endpoints for calls; queues generations until
             an engine has room.
+        memory: Counts the bodies that calls hold.
     """
 
     __slots__ = (
@@ -66,6 +69,7 @@
         "serving_state",
         "crash_detector",
         "endpoint_finder",
+        "memory",
     )
 
     def __init__(
@@ -77,6 +81,7 @@
         log: events.Log,
         call_reporter: call_reporting.CallReporter,
         serving_state: serving.ServingState,
+        memory: intake.Intake | None = None,
     ) -> None:
         self.scheduler = scheduler
         self.sender = sender
@@ -91,6 +96,7 @@
         self.endpoint_finder = endpoint_finder.EndpointFinder(
             scheduler, serving_state
         )
+        self.memory = memory or intake.Intake()
 
 
 class Exchange:
@@ -125,10 +131,8 @@
         # Remains false if `_try_endpoints` raises because the caller
         # disconnected or an internal error occurred.
         self._is_finished = False
-        # Head and body of an error response, held back for a retry.
-        self._held_response: tuple[calls.EndpointResponseHead, bytes] | None = (
-            None
-        )
+        # An error response that is held back for a retry.
+        self._held_response = held_response.HeldResponse(deps.memory)
         self._crashes = crash_detection.RequestCrashes(
             deps.crash_detector, deps.scheduler, admitted
         )
@@ -143,6 +147,13 @@
         Raises:
             CallerDisconnectedError: The caller closed its connection.
         """
+        try:
+            self._serve()
+        finally:
+            self._held_response.drop()
+
+    def _serve(self) -> None:
+        """Sends the call to endpoints and writes the caller's response."""
         try:
             is_response_complete = self._try_endpoints()
         except open_calls.ProcessStoppingError:
@@ -152,13 +163,15 @@
         if is_response_complete:
             self._failure = None
         elif (
-            self._held_response is not None
+            self._held_response.head is not None
             and not self._response_writer.has_started
         ):
-            head, body = self._held_response
+            head, body = self._held_response.head, self._held_response.body
             self._status = head.status
             self._failure = None
-            self._response_writer.send_response(head.status, head.headers, body)
+            self._response_writer.send_buffered_response(
+                head.status, head.headers, body
+            )
         else:
             self._failure = self._make_final_failure()
             if not self._response_writer.has_started:
@@ -480,7 +493,7 @@
         deps = self._deps
         admitted = self._admitted
         endpoint_id = run.endpoint.endpoint_id
-        body = response.conn.read_body(
+        body = response.conn.receive_body(
             admitted.deadline_s, sending.MAX_BODY_BYTES
         )
         now_s = clock.boottime()
@@ -501,15 +514,20 @@
         deps.scheduler.record_outcome(
             run.endpoint, admitted.route.name, took_s, failed=is_failed
         )
-        if is_failed and self._should_retry_error_response(now_s):
-            self._held_response = (head, body)
+        if (
+            is_failed
+            and self._should_retry_error_response(now_s)
+            and self._held_response.try_keep(head, body)
+        ):
             self._failure = errors.Failure(
                 errors.Kind.ENDPOINT_FAILED,
                 f"the endpoint returned status {head.status}",
             )
             return False
         self._status = head.status
-        self._response_writer.send_response(head.status, head.headers, body)
+        self._response_writer.send_buffered_response(
+            head.status, head.headers, body
+        )
         return True
 
     def _should_retry_error_response(self, now_s: float) -> bool:
--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -19,6 +19,8 @@
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
+from dandelionlead.http import body_buffer
+from dandelionlead.http import intake
 from dandelionlead.http import link_activity
 
 _RECV_BYTES = 65_536
@@ -37,6 +39,7 @@
 _EVENTS_PER_YIELD = 64
 # Largest body of a response to an earlier request that `skip_response` reads.
 _MAX_STALE_BODY_BYTES = 1_048_576
+_NO_ROOM = "the response body was cut off to make room for others"
 # The kernel closes a connection whose sent data stay unacknowledged this long.
 _TCP_USER_TIMEOUT_MS = 3_000
 _TCP_KEEPALIVE_IDLE_S = 2
@@ -146,6 +149,8 @@
     Args:
         address: IP address and port of the peer.
         sock: Connected socket; the connection closes it.
+        memory: Counts the bodies that the connection reads; None for an account
+            of its own.
 
     Attributes:
         address: IP address and port of the peer.
@@ -170,10 +175,14 @@
         "_http",
         "_closed",
         "_events_since_yield",
+        "_memory",
     )
 
     def __init__(
-        self, address: tuple[str, int], sock: green_socket.GreenSocket
+        self,
+        address: tuple[str, int],
+        sock: green_socket.GreenSocket,
+        memory: intake.Intake | None = None,
     ) -> None:
         self.address = address
         self.opened_s = clock.boottime()
@@ -181,6 +190,7 @@
         self.keep_alive_timeout_s = 5.0
         self.idle_before_request_s = 0.0
         self._sock = sock
+        self._memory = memory or intake.Intake()
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -290,6 +300,22 @@
         idle_timeout_s: float = float("inf"),
         activity: link_activity.LinkActivity | None = None,
     ) -> bytes | errors.Failure:
+        """Reads the rest of the response body as one piece.
+
+        Takes the arguments of `receive_body`.
+        """
+        body = self.receive_body(
+            deadline_s, max_bytes, idle_timeout_s, activity
+        )
+        return body if isinstance(body, errors.Failure) else body.take()
+
+    def receive_body(
+        self,
+        deadline_s: float,
+        max_bytes: int,
+        idle_timeout_s: float = float("inf"),
+        activity: link_activity.LinkActivity | None = None,
+    ) -> body_buffer.BodyBuffer | errors.Failure:
         """Reads the rest of the response body.
 
         Args:
@@ -300,28 +326,45 @@
             activity: Receives the size of the body while it arrives.
 
         Returns:
-            The rest of the body, or the failure.
+            The rest of the body, or the failure. It is also a failure if the
+            body has to make room for others.
         """
-        chunks: list[bytes] = []
-        size = 0
-        for _ in range(_MAX_BODY_PARTS + 1):
-            data = self.read_body_part(
-                min(deadline_s, clock.boottime() + idle_timeout_s)
-            )
-            if data is BODY_END:
-                return b"".join(chunks)
-            if not isinstance(data, bytes):
-                return data
-            size += len(data)
-            if size > max_bytes:
-                return _endpoint_failed(
-                    "the response body exceeds the size limit"
+        body = body_buffer.BodyBuffer()
+        account = self._memory.open_response(lambda: self._abandon_body(body))
+        try:
+            for _ in range(_MAX_BODY_PARTS + 1):
+                data = self.read_body_part(
+                    min(deadline_s, clock.boottime() + idle_timeout_s)
                 )
-            if activity is not None:
-                activity.record_part(size)
-            chunks.append(data)
+                if account.is_evicted:
+                    return _endpoint_failed(_NO_ROOM)
+                if data is BODY_END:
+                    return body
+                if not isinstance(data, bytes):
+                    return data
+                size = body.size + len(data)
+                if size > max_bytes:
+                    return _endpoint_failed(
+                        "the response body exceeds the size limit"
+                    )
+                if activity is not None:
+                    activity.record_part(size)
+                has_evicted = account.hold(size)
+                body.append(data)
+                if has_evicted:
+                    eventlet.sleep(0)
+        except intake.IntakeFullError:
+            return _endpoint_failed(_NO_ROOM)
+        finally:
+            account.close()
         return _endpoint_failed("the response body has too many parts")
 
+    def _abandon_body(self, body: body_buffer.BodyBuffer) -> None:
+        """Drops a body that makes room for others; its reading fails."""
+        body.clear()
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+
     def request(
         self,
         method: bytes,
@@ -488,13 +531,17 @@
 
 
 def connect(
-    address: tuple[str, int], timeout_s: float
+    address: tuple[str, int],
+    timeout_s: float,
+    memory: intake.Intake | None = None,
 ) -> ClientConnection | errors.Failure:
     """Opens a connection.
 
     Args:
         address: IP address and port of the peer.
         timeout_s: Seconds to wait for the TCP handshake.
+        memory: Counts the bodies that the connection reads; None for an account
+            of its own.
 
     Returns:
         The connection, or a failure of kind `ENDPOINT_UNREACHABLE`.
@@ -510,7 +557,7 @@
             errors.Kind.ENDPOINT_UNREACHABLE,
             f"cannot connect to {address[0]}:{address[1]}: {exc}",
         )
-    return ClientConnection(address, sock)
+    return ClientConnection(address, sock, memory)
 
 
 def receive_bytes(
--- a/libs/http/src/dandelionlead/http/intake.py
+++ b/libs/http/src/dandelionlead/http/intake.py
@@ -1,13 +1,16 @@
-"""Limits what the callers of one process together make it hold.
+"""Limits what the peers of one process together make it hold.
 
-All listeners of a process share one `Intake`. It counts the connections and the
-bytes of requests and responses that connections hold, as they arrive. When a
-limit is reached, it closes the connections that hold the most for the longest
-time, and so makes room for the others.
+All listeners and clients of a process share one `Intake`. It counts the
+connections of callers and the bytes of requests and responses that connections
+hold, as they arrive: those of callers, and the bodies that endpoints and the
+store send. When a limit is reached, it closes the connections that hold the
+most for the longest time, and so makes room for the others.
 """
 
 from __future__ import annotations
 
+import abc
+import itertools
 from collections.abc import Callable
 
 from dandelionlead.core import clock
@@ -16,7 +19,7 @@
 # Memory for callers if the settings do not state the memory of the machine.
 _DEFAULT_MEMORY_BYTES = 128 * 1_048_576
 _DEFAULT_MAX_DESCRIPTORS = 4_096
-# Share of the memory that callers may make the process hold.
+# Share of the memory that all peers may make the process hold.
 _MEMORY_SHARE = 0.25
 # Descriptors that connections to endpoints, the store, peers and files need.
 _RESERVED_DESCRIPTORS = 200
@@ -45,18 +48,22 @@
         refused_connections: Connections that were closed when they came.
         refused_requests: Requests that were refused for lack of memory.
         evicted_connections: Connections that were closed to make room.
+        cut_responses: Responses of endpoints or the store that were cut off to
+            make room.
     """
 
     __slots__ = (
         "refused_connections",
         "refused_requests",
         "evicted_connections",
+        "cut_responses",
     )
 
     def __init__(self) -> None:
         self.refused_connections = 0
         self.refused_requests = 0
         self.evicted_connections = 0
+        self.cut_responses = 0
 
     def is_zero(self) -> bool:
         """Returns whether nothing was refused."""
@@ -64,38 +71,99 @@
             self.refused_connections
             or self.refused_requests
             or self.evicted_connections
+            or self.cut_responses
         )
 
 
-class Account:
+class Account(abc.ABC):
     """What one connection holds.
 
     Attributes:
-        host: IP address of the caller.
-        held_bytes: Bytes that the connection holds, with its own memory.
+        held_bytes: Bytes that the connection holds.
         is_evicted: Whether the connection was closed to make room.
+    """
+
+    __slots__ = ("held_bytes", "is_evicted", "_intake", "_evict")
+
+    # Bytes that do not count when it is chosen which connection makes room.
+    OWN_BYTES = 0
+
+    def __init__(self, intake: Intake, evict: Callable[[], None]) -> None:
+        self.held_bytes = self.OWN_BYTES
+        self.is_evicted = False
+        self._intake = intake
+        self._evict = evict
+
+    def hold(self, byte_count: int) -> bool:
+        """Sets how many bytes the connection holds beside its own memory.
+
+        Returns:
+            Whether others were closed to make room. What they hold is free once
+            their greenlets have run.
+
+        Raises:
+            IntakeFullError: The connection was evicted, or there is no room
+                for it.
+        """
+        if self.is_evicted:
+            raise IntakeFullError("the connection was closed to make room")
+        return self._intake.set_held(self, self.OWN_BYTES + byte_count)
+
+    def evict(self) -> None:
+        """Closes the connection to make room for others."""
+        self.is_evicted = True
+        self.close()
+        self.note_eviction(self._intake.counts)
+        self._evict()
+
+    def compute_weight(
+        self, now_s: float, byte_count: int | None = None
+    ) -> float:
+        """Returns the weight by which it is chosen to make room.
+
+        Args:
+            now_s: Present instant, in seconds.
+            byte_count: Bytes that it would hold; None for those it holds.
+        """
+        if byte_count is None:
+            byte_count = self.held_bytes
+        return (byte_count - self.OWN_BYTES) * self.compute_age_s(now_s)
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Releases all that the connection holds."""
+
+    @abc.abstractmethod
+    def compute_age_s(self, now_s: float) -> float:
+        """Returns for how long the connection has waited for its peer."""
+
+    @abc.abstractmethod
+    def note_eviction(self, counts: IntakeCounts) -> None:
+        """Counts that the connection was closed to make room."""
+
+    @abc.abstractmethod
+    def note_refusal(self, counts: IntakeCounts) -> None:
+        """Counts that the connection may not hold more."""
+
+
+class CallerAccount(Account):
+    """What one connection of a caller holds.
+
+    Attributes:
+        host: IP address of the caller.
         served_count: Requests of the connection that were read completely.
     """
 
-    __slots__ = (
-        "host",
-        "held_bytes",
-        "is_evicted",
-        "served_count",
-        "_intake",
-        "_evict",
-        "_waiting_since_s",
-    )
+    __slots__ = ("host", "served_count", "_waiting_since_s")
+
+    OWN_BYTES = CONNECTION_BYTES
 
     def __init__(
         self, intake: Intake, host: str, evict: Callable[[], None]
     ) -> None:
+        super().__init__(intake, evict)
         self.host = host
-        self.held_bytes = CONNECTION_BYTES
-        self.is_evicted = False
         self.served_count = 0
-        self._intake = intake
-        self._evict = evict
         self._waiting_since_s: float | None = clock.boottime()
 
     @property
@@ -111,17 +179,6 @@
         """Records that the process has what it needs from the caller."""
         self._waiting_since_s = None
 
-    def hold(self, byte_count: int) -> None:
-        """Sets how many bytes the connection holds beside its own memory.
-
-        Raises:
-            IntakeFullError: The connection was evicted, or there is no room
-                for it.
-        """
-        if self.is_evicted:
-            raise IntakeFullError("the connection was closed to make room")
-        self._intake.set_held(self, CONNECTION_BYTES + byte_count)
-
     def release(self) -> None:
         """Releases what the connection holds beside its own memory."""
         if not self.is_evicted:
@@ -143,20 +200,49 @@
         """Releases all that the connection holds."""
         self._intake.close_account(self)
 
-    def evict(self) -> None:
-        """Closes the connection to make room for others."""
-        self.is_evicted = True
-        self._evict()
-
     def compute_age_s(self, now_s: float) -> float:
         """Returns for how long the connection has waited for its caller."""
         if self._waiting_since_s is None:
             return 0.0
         return now_s - self._waiting_since_s + _MIN_AGE_S
 
+    def note_eviction(self, counts: IntakeCounts) -> None:
+        """Counts that the connection was closed to make room."""
+        counts.evicted_connections += 1
+
+    def note_refusal(self, counts: IntakeCounts) -> None:
+        """Counts that a request of the connection was refused."""
+        counts.refused_requests += 1
+
+
+class ResponseAccount(Account):
+    """What one response body holds that an endpoint or the store sends."""
+
+    __slots__ = ("_opened_s",)
+
+    def __init__(self, intake: Intake, evict: Callable[[], None]) -> None:
+        super().__init__(intake, evict)
+        self._opened_s = clock.boottime()
+
+    def close(self) -> None:
+        """Releases all that the body holds."""
+        self._intake.close_response(self)
+
+    def compute_age_s(self, now_s: float) -> float:
+        """Returns for how long the body has been arriving."""
+        return now_s - self._opened_s + _MIN_AGE_S
+
+    def note_eviction(self, counts: IntakeCounts) -> None:
+        """Counts that the response was cut off."""
+        counts.cut_responses += 1
+
+    def note_refusal(self, counts: IntakeCounts) -> None:
+        """Counts that the response was cut off."""
+        counts.cut_responses += 1
+
 
 class Intake:
-    """Connections of all callers of one process, and the bytes they hold.
+    """Connections of all peers of one process, and the bytes they hold.
 
     Attributes:
         pacer: Spaces the parsing of request bodies.
@@ -171,6 +257,7 @@
         "_max_bytes",
         "_max_connections",
         "_accounts",
+        "_response_accounts",
     )
 
     def __init__(
@@ -193,13 +280,19 @@
             int((max_descriptors - _RESERVED_DESCRIPTORS) * _DESCRIPTOR_SHARE),
         )
         # Accounts of each caller, by IP address.
-        self._accounts: dict[str, set[Account]] = {}
+        self._accounts: dict[str, set[CallerAccount]] = {}
+        self._response_accounts: set[ResponseAccount] = set()
 
     @property
     def connection_count(self) -> int:
-        """Number of connections that are open."""
+        """Number of connections of callers that are open."""
         return sum(len(accounts) for accounts in self._accounts.values())
 
+    @property
+    def response_bytes(self) -> int:
+        """Bytes of the bodies that endpoints and the store send."""
+        return sum(account.held_bytes for account in self._response_accounts)
+
     def allow_request_size(self, max_body_bytes: int) -> None:
         """Makes sure that requests of the largest legal size have room."""
         self._max_bytes = max(
@@ -208,7 +301,7 @@
 
     def open_account(
         self, host: str, evict: Callable[[], None]
-    ) -> Account | None:
+    ) -> CallerAccount | None:
         """Returns the account of a new connection, or None to refuse it.
 
         At the limit, a connection that waits for its caller makes room: one of
@@ -222,14 +315,30 @@
         if is_full and not self._evict_oldest():
             self.counts.refused_connections += 1
             return None
-        account = Account(self, host, evict)
+        account = CallerAccount(self, host, evict)
         self._accounts.setdefault(host, set()).add(account)
         self.held_bytes += account.held_bytes
         if self.held_bytes > self._max_bytes:
             self._make_room(account, CONNECTION_BYTES)
         return account
 
-    def close_account(self, account: Account) -> None:
+    def open_response(self, evict: Callable[[], None]) -> ResponseAccount:
+        """Returns the account of a response body that begins to arrive.
+
+        Args:
+            evict: Drops what has arrived, and ends the reading of the body.
+        """
+        account = ResponseAccount(self, evict)
+        self._response_accounts.add(account)
+        return account
+
+    def close_response(self, account: ResponseAccount) -> None:
+        """Removes the account of a body; a second call has no effect."""
+        if account in self._response_accounts:
+            self._response_accounts.discard(account)
+            self.held_bytes -= account.held_bytes
+
+    def close_account(self, account: CallerAccount) -> None:
         """Removes an account; one that was removed already is ignored."""
         accounts = self._accounts.get(account.host)
         if accounts is None or account not in accounts:
@@ -239,25 +348,31 @@
             del self._accounts[account.host]
         self.held_bytes -= account.held_bytes
 
-    def set_held(self, account: Account, byte_count: int) -> None:
+    def set_held(self, account: Account, byte_count: int) -> bool:
         """Sets how many bytes an account holds.
 
         If that exceeds the limit, the connections that have held the most for
         the longest time make room.
 
+        Returns:
+            Whether any had to.
+
         Raises:
             IntakeFullError: The connection itself is the one to make room, or
                 no other can.
         """
         growth = byte_count - account.held_bytes
+        has_evicted = False
         while growth > 0 and self.held_bytes + growth > self._max_bytes:
             if not self._make_room(account, byte_count):
-                self.counts.refused_requests += 1
-                raise IntakeFullError("callers hold too much memory")
+                account.note_refusal(self.counts)
+                raise IntakeFullError("connections hold too much memory")
+            has_evicted = True
         self.held_bytes += growth
         account.held_bytes = byte_count
+        return has_evicted
 
-    def add_response(self, account: Account, byte_count: int) -> None:
+    def add_response(self, account: CallerAccount, byte_count: int) -> None:
         """Counts bytes of a response that a caller has yet to read.
 
         The endpoint has already made the response, so that it is not refused;
@@ -299,15 +414,16 @@
             return self._evict_oldest(account)
         now_s = clock.boottime()
         victim = account
-        largest = _weigh(byte_count, account.compute_age_s(now_s))
-        for accounts in self._accounts.values():
-            for other in accounts:
-                weight = _weigh(other.held_bytes, other.compute_age_s(now_s))
-                if weight > largest and other is not account:
-                    victim, largest = other, weight
+        largest = account.compute_weight(now_s, byte_count)
+        for other in itertools.chain(
+            self._response_accounts, *self._accounts.values()
+        ):
+            weight = other.compute_weight(now_s)
+            if weight > largest and other is not account:
+                victim, largest = other, weight
         if victim is account:
             return False
-        self._evict(victim)
+        victim.evict()
         return True
 
     def _evict_oldest(self, excluded: Account | None = None) -> bool:
@@ -324,29 +440,13 @@
                 if account.waits_for_caller and account is not excluded
             ]
             if waiting:
-                self._evict(
-                    max(
-                        waiting,
-                        key=lambda account: (
-                            not account.served_count,
-                            account.compute_age_s(now_s),
-                        ),
-                    )
+                oldest = max(
+                    waiting,
+                    key=lambda account: (
+                        not account.served_count,
+                        account.compute_age_s(now_s),
+                    ),
                 )
+                oldest.evict()
                 return True
         return False
-
-    def _evict(self, account: Account) -> None:
-        self.counts.evicted_connections += 1
-        self.close_account(account)
-        account.evict()
-
-
-def _weigh(held_bytes: int, age_s: float) -> float:
-    """Returns the weight by which a connection is chosen to make room.
-
-    Args:
-        held_bytes: Bytes that it holds, with its own memory.
-        age_s: Seconds for which it has waited for its caller; 0 if it does not.
-    """
-    return (held_bytes - CONNECTION_BYTES) * age_s
--- a/libs/http/src/dandelionlead/http/listener.py
+++ b/libs/http/src/dandelionlead/http/listener.py
@@ -119,7 +119,7 @@
         eventlet.spawn_n(self._serve, sock, account)
 
     def _serve(
-        self, sock: green_socket.GreenSocket, account: intake.Account
+        self, sock: green_socket.GreenSocket, account: intake.CallerAccount
     ) -> None:
         with contextlib.suppress(OSError):
             client.set_socket_options(sock)
--- a/libs/http/src/dandelionlead/http/request_reader.py
+++ b/libs/http/src/dandelionlead/http/request_reader.py
@@ -89,7 +89,7 @@
         self,
         sock: green_socket.GreenSocket,
         http: h11.Connection,
-        account: intake.Account,
+        account: intake.CallerAccount,
         pacer: turn_pacer.TurnPacer,
     ) -> None:
         self.is_idle = True
--- a/libs/http/src/dandelionlead/http/server.py
+++ b/libs/http/src/dandelionlead/http/server.py
@@ -11,8 +11,11 @@
 
 import abc
 import contextlib
+import itertools
 import json
 import socket
+from collections.abc import Iterable
+from collections.abc import Iterator
 
 import eventlet
 import eventlet.green.socket as green_socket
@@ -20,6 +23,7 @@
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
+from dandelionlead.http import body_buffer
 from dandelionlead.http import client
 from dandelionlead.http import disconnect_watcher
 from dandelionlead.http import intake
@@ -110,18 +114,45 @@
             h11.LocalProtocolError: The response was already started, or the
                 headers are not valid.
         """
-        response_headers = [
-            (k, v) for k, v in headers if k.lower() != b"content-length"
-        ]
-        response_headers.append((b"Content-Length", b"%d" % len(body)))
         self.has_started = True
-        data = self._conn.encode_head(status, response_headers)
+        data = self._conn.encode_head(status, _set_length(headers, len(body)))
         if body and self._conn.method != b"HEAD":
             data += self._conn.encode_event(h11.Data(data=body))
         data += self._conn.encode_event(h11.EndOfMessage())
         self.has_ended = True
         self._conn.write(data)
 
+    def send_buffered_response(
+        self, status: int, headers: client.Headers, body: body_buffer.BodyBuffer
+    ) -> None:
+        """Sends a complete response; frees the blocks of its body meanwhile.
+
+        Args:
+            status: HTTP status code.
+            headers: Headers; a Content-Length among them is replaced.
+            body: The whole body; empty afterwards.
+
+        Raises:
+            CallerDisconnectedError: The response could not be written.
+            h11.LocalProtocolError: The response was already started, or the
+                headers are not valid.
+        """
+        if body.size < _LARGE_WRITE_BYTES or self._conn.method == b"HEAD":
+            self.send_response(status, headers, body.take())
+            return
+        self.has_started = True
+        head = self._conn.encode_head(status, _set_length(headers, body.size))
+        self._conn.write_large(
+            body.size, itertools.chain([head], self._encode_blocks(body))
+        )
+
+    def _encode_blocks(self, body: body_buffer.BodyBuffer) -> Iterator[bytes]:
+        """Yields the encoded blocks of a body up to the end of the response."""
+        for block in body.pop_blocks():
+            yield self._conn.encode_event(h11.Data(data=block))
+        yield self._conn.encode_event(h11.EndOfMessage())
+        self.has_ended = True
+
     def start_response(self, status: int, headers: client.Headers) -> None:
         """Sends the head of a response whose length is not known yet.
 
@@ -188,7 +219,7 @@
         self,
         sock: green_socket.GreenSocket,
         handler: Handler,
-        account: intake.Account,
+        account: intake.CallerAccount,
         pacer: turn_pacer.TurnPacer,
     ) -> None:
         self._sock = sock
@@ -279,20 +310,35 @@
             CallerDisconnectedError: The connection failed, or the caller did
                 not read the bytes before `write_deadline_s`.
         """
-        if not data:
-            return
-        is_large = len(data) >= _LARGE_WRITE_BYTES
-        if is_large:
-            self._account.start_write(len(data))
+        if len(data) >= _LARGE_WRITE_BYTES:
+            self.write_large(len(data), [data])
+        elif data:
+            self._write(data)
+
+    def write_large(self, byte_count: int, parts: Iterable[bytes]) -> None:
+        """Writes parts that count as held until they are written.
+
+        Args:
+            byte_count: Number of bytes of all parts.
+            parts: The parts.
+
+        Raises:
+            CallerDisconnectedError: As for `write`.
+        """
+        self._account.start_write(byte_count)
+        try:
+            for part in parts:
+                self._write(part)
+        finally:
+            self._account.end_write(byte_count)
+
+    def _write(self, data: bytes) -> None:
         remaining_s = max(0.05, self.write_deadline_s - clock.boottime())
         try:
             self._sock.settimeout(remaining_s)
             self._sock.sendall(memoryview(data))
         except OSError as exc:
             raise disconnect_watcher.CallerDisconnectedError(str(exc)) from exc
-        finally:
-            if is_large:
-                self._account.end_write(len(data))
 
     def _serve_request(self) -> bool:
         """Serves one request; returns whether the connection stays open."""
@@ -406,6 +452,14 @@
                 eventlet.sleep(0)
 
 
+def _set_length(headers: client.Headers, length: int) -> client.Headers:
+    """Returns headers with a Content-Length in place of any other."""
+    return [
+        *((k, v) for k, v in headers if k.lower() != b"content-length"),
+        (b"Content-Length", b"%d" % length),
+    ]
+
+
 def encode_failure(failure: errors.Failure) -> bytes:
     """Returns a failure as the JSON body of an error response.
 
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -18,6 +18,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.http import client
+from dandelionlead.http import intake
 
 _socket = eventlet.patcher.original("socket")
 _threading = eventlet.patcher.original("threading")
@@ -294,6 +295,68 @@
         self.assertEqual(conn.read_body(deadline_s, 1_000), b"later")
 
 
+class SharedMemoryTest(unittest.TestCase):
+    """Guards against bodies that are limited one by one, but not together."""
+
+    BODY = b"x" * 200_000
+    LIMITS = client.ExchangeLimits(_TIMEOUT_S, 1_000_000)
+
+    # How the body of a response is read.
+    READS = (
+        lambda conn, deadline_s: conn.receive_body(deadline_s, 1_000_000),
+        lambda conn, deadline_s: conn.read_body(deadline_s, 1_000_000),
+        lambda conn, deadline_s: conn.skip_response(b"GET", deadline_s),
+    )
+
+    def _connect(
+        self, memory: intake.Intake, sent_bytes: int = len(BODY)
+    ) -> client.ClientConnection:
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+        # Its connection lives as long as the endpoint.
+        self.endpoint = _ScriptedEndpoint(
+            head % len(self.BODY) + self.BODY[:sent_bytes], ending="keep"
+        )
+        return client.connect(self.endpoint.address, _TIMEOUT_S, memory)
+
+    def test_each_way_to_read_a_body_takes_room_and_returns_it(self) -> None:
+        # Memory of the process, and whether a quarter of it bears the body.
+        for memory_bytes, is_read in ((1_000_000, True), (400_000, False)):
+            for read in self.READS:
+                memory = intake.Intake(memory_bytes)
+                conn = self._connect(memory)
+                conn.send_request(
+                    b"GET", b"/", [(b"Host", b"e")], b"", _TIMEOUT_S
+                )
+                deadline_s = clock.boottime() + _TIMEOUT_S
+                conn.read_head(deadline_s)
+                result = read(conn, deadline_s)
+                has_failed = isinstance(result, errors.Failure) or not result
+                self.assertEqual(has_failed, not is_read)
+                self.assertEqual(memory.held_bytes, 0)
+            memory = intake.Intake(memory_bytes)
+            result = self._connect(memory).request(
+                b"GET", b"/", [(b"Host", b"e")], b"", self.LIMITS
+            )
+            self.assertEqual(isinstance(result, errors.Failure), not is_read)
+            self.assertEqual(memory.held_bytes, 0)
+
+    def test_body_that_must_make_room_ends_at_once(self) -> None:
+        memory = intake.Intake(1_000_000)
+        conn = self._connect(memory, 150_000)
+        conn.send_request(b"GET", b"/", [(b"Host", b"e")], b"", _TIMEOUT_S)
+        started_s = clock.boottime()
+        conn.read_head(started_s + _TIMEOUT_S)
+        body = eventlet.spawn(
+            conn.receive_body, started_s + _TIMEOUT_S, 1_000_000
+        )
+        eventlet.sleep(0.2)
+        self.assertEqual(memory.held_bytes, 150_000)
+        memory.open_response(lambda: None).hold(140_000)
+        self.assertEqual(memory.held_bytes, 140_000)
+        self.assertIsInstance(body.wait(), errors.Failure)
+        self.assertLess(clock.boottime() - started_s, 1.0)
+
+
 class TimeoutTest(unittest.TestCase):
     """Guards against an endpoint that blocks a request without a time limit."""
 
--- a/libs/http/tests/test_intake.py
+++ b/libs/http/tests/test_intake.py
@@ -1,11 +1,12 @@
-"""Guards the choice of what goes when callers make a process hold too much.
+"""Guards the choice of what goes when peers make a process hold too much.
 
-The load: crowds that hold bodies open beside ordinary callers, and crowds of
-connections without a request.
+The load: crowds that hold bodies open beside ordinary callers, crowds of
+connections without a request, and endpoints whose bodies do not end.
 """
 
 from __future__ import annotations
 
+import random
 import unittest
 from unittest import mock
 
@@ -31,6 +32,11 @@
                 host, lambda: self.evicted.append(name)
             )
 
+    def open_response(self, name: str) -> intake.ResponseAccount:
+        """Begins a response body; `evicted` gets its name if it must go."""
+        with mock.patch(_CLOCK, lambda: self.now_s):
+            return self.intake.open_response(lambda: self.evicted.append(name))
+
     def hold(self, account: intake.Account, megabytes: float) -> bool:
         """Lets a connection hold bytes; returns whether it may."""
         with mock.patch(_CLOCK, lambda: self.now_s):
@@ -87,6 +93,85 @@
         self.assertEqual(callers.intake.connection_count, 0)
 
 
+class ResponseTest(unittest.TestCase):
+    """Guards against endpoints whose bodies take the room of all others."""
+
+    def test_largest_and_slowest_makes_room_whoever_holds_it(self) -> None:
+        # Megabytes and age (s) of a request and of a response; which must go
+        # for a new response that needs 4 MB.
+        cases = (
+            ((6, 1), (8, 2), ["response"]),
+            ((8, 3), (6, 2), ["request"]),
+            ((0, 9), (14, 1), ["response"]),
+        )
+        for request, response, expected in cases:
+            with self.subTest(request=request, response=response):
+                peers = _Callers(64)
+                peers.now_s = 10.0 - request[1]
+                self.assertTrue(
+                    peers.hold(peers.connect("request"), request[0])
+                )
+                peers.now_s = 10.0 - response[1]
+                account = peers.open_response("response")
+                self.assertTrue(peers.hold(account, response[0]))
+                peers.now_s = 10.0
+                self.assertTrue(peers.hold(peers.open_response("new"), 4))
+                self.assertEqual(peers.evicted, expected)
+
+    def test_body_that_does_not_end_makes_room_for_itself(self) -> None:
+        peers = _Callers(64)
+        endless = peers.open_response("endless")
+        self.assertTrue(peers.hold(endless, 15))
+        peers.now_s = 1.0
+        self.assertFalse(peers.hold(endless, 17))
+        endless.close()
+        self.assertEqual(peers.intake.held_bytes, 0)
+        self.assertEqual(peers.intake.take_counts().cut_responses, 1)
+
+    def test_cut_body_takes_no_more(self) -> None:
+        peers = _Callers(64)
+        endless = peers.open_response("endless")
+        self.assertTrue(peers.hold(endless, 15))
+        peers.now_s = 1.0
+        self.assertTrue(peers.hold(peers.open_response("new"), 4))
+        self.assertFalse(peers.hold(endless, 1))
+        self.assertEqual(peers.intake.held_bytes, 4 * _MEGABYTE)
+
+    def test_random_takes_and_returns_leave_nothing(self) -> None:
+        for seed in range(50):
+            with self.subTest(seed=seed):
+                self._play(random.Random(seed))
+
+    def _play(self, rng: random.Random) -> None:
+        peers = _Callers(64)
+        accounts: list[intake.Account] = []
+        for step in range(200):
+            peers.now_s += rng.random()
+            if len(accounts) < 3 or rng.random() < 0.2:
+                accounts.append(
+                    peers.connect(f"c{step}", rng.choice("ab"))
+                    if rng.random() < 0.5
+                    else peers.open_response(f"r{step}")
+                )
+            account = rng.choice(accounts)
+            if rng.random() < 0.2:
+                account.close()
+                accounts.remove(account)
+            else:
+                peers.hold(account, rng.choice((0, 0.1, 1, 7)))
+            self.assertLessEqual(peers.intake.held_bytes, 16 * _MEGABYTE)
+            self.assertEqual(
+                peers.intake.held_bytes,
+                sum(
+                    item.held_bytes for item in accounts if not item.is_evicted
+                ),
+            )
+        for account in accounts:
+            account.close()
+        self.assertEqual(peers.intake.held_bytes, 0)
+        self.assertEqual(peers.intake.connection_count, 0)
+
+
 class ConnectionTest(unittest.TestCase):
     """Guards against connections without a request that shut others out."""
 
