Let the parser alone decide where a request ends

Cause: http.chunk_merging stood before the parser and joined small chunks. Behind a trailer it passed on the start of the next request, whose body a new merger then read from the middle of a chunk. Evidence: a request like that of the case, cut inside its body: "A" becomes "a". Same cause on related paths: the split of heads and of bodies of declared length before the parser (gone too). Responses are read by the parser alone. Ruled out: the parser itself, which finds the same requests as a strict reader of RFC 9112.

Change: all bytes pass to the parser as they arrive. A chunked body counts when it arrives, and is received in reads of 16 KB.

Why it works: there is one authority for the border of a message, and nothing before it.

Responses of workers, store and peers have no such fuzz yet.

--- a/libs/http/src/dandelionlead/http/request_reader.py
+++ b/libs/http/src/dandelionlead/http/request_reader.py
@@ -1,33 +1,30 @@
 """Reads the requests of one connection, one after another.
 
-The head and a body of declared length are split from what follows before they
-reach the parser, so that the parser never holds bytes of a later request. What
-is held is counted in the account of the connection as it arrives.
+The parser alone decides where a message ends: all bytes pass to it in the order
+and the form in which they arrive, and it keeps those of a later request until
+the present one has been answered. What is held is counted in the account of the
+connection as it arrives.
 """
 
 from __future__ import annotations
 
-import re
-
 import eventlet.green.socket as green_socket
 import h11
 
 from dandelionlead.core import clock
 from dandelionlead.http import body_buffer
-from dandelionlead.http import chunk_merging
 from dandelionlead.http import client
 from dandelionlead.http import intake
 from dandelionlead.http import limits
 from dandelionlead.http import turn_pacer
 
 RECV_BYTES = 65_536
-# Smaller reads bound the time of a turn in which many small chunks are merged.
+# Smaller reads bound what the parser holds of a body in chunks while the
+# connection waits for its turn.
 _CHUNKED_RECV_BYTES = 16_384
-# Events of a body that are taken from the parser in one turn.
+# Events of a body that are taken from the parser in one turn. They bound the
+# time of a turn in which very many small chunks are parsed.
 _EVENTS_PER_TURN = 100
-_HEAD_END = re.compile(rb"\n\r?\n")
-# Bytes of the end of a head that may have come with the bytes before.
-_HEAD_END_BYTES = 2
 
 
 class Request:
@@ -81,7 +78,6 @@
         "_http",
         "_account",
         "_pacer",
-        "_unread",
         "_unparsed_bytes",
     )
 
@@ -98,15 +94,13 @@
         self._http = http
         self._account = account
         self._pacer = pacer
-        # Bytes that have arrived and were not passed to the parser yet.
-        self._unread = b""
         # Bytes that the parser holds at most.
         self._unparsed_bytes = 0
 
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes of a further request have already been received."""
-        return bool(self._unread)
+        return bool(self._http.trailing_data[0])
 
     def read_head(self, request_limits: limits.RequestLimits) -> Request | None:
         """Reads the head of a request.
@@ -120,8 +114,9 @@
             intake.IntakeFullError: There is no room for the request.
             h11.RemoteProtocolError: The bytes are not a valid request.
         """
-        self.is_idle = not self._unread
-        self._account.hold(len(self._unread))
+        self.is_idle = not self.has_unread_bytes
+        self._unparsed_bytes = len(self._http.trailing_data[0])
+        self._account.hold(self._unparsed_bytes)
         event = self._read_head_event(request_limits)
         if not isinstance(event, h11.Request):
             return None
@@ -131,7 +126,6 @@
         _check_framing(headers)
         _check_size(headers, request_limits.max_header_bytes)
         _check_length(event, request_limits.max_body_bytes)
-        self._unparsed_bytes = 0
         return Request(
             self.method, bytes(event.target), headers, b"", clock.boottime()
         )
@@ -157,7 +151,7 @@
             h11.RemoteProtocolError: The bytes are not a valid request.
         """
         head_bytes = _estimate_head_bytes(request)
-        source = _make_body_source(request)
+        recv_bytes = _CHUNKED_RECV_BYTES if _is_chunked(request) else RECV_BYTES
         body = body_buffer.BodyBuffer()
         size = 0
         event_count = 0
@@ -176,19 +170,24 @@
                 if event_count % _EVENTS_PER_TURN:
                     continue
             elif event is h11.NEED_DATA:
-                self._account.hold(head_bytes + body.size + len(self._unread))
+                self._account.hold(head_bytes + body.size)
                 if has_waited:
                     self._pacer.end_turn(turn_started_s)
                 has_waited = True
-                data = self._receive_body(request_limits, source)
+                data = self._receive(
+                    clock.boottime() + request_limits.header_timeout_s,
+                    recv_bytes,
+                )
                 turn_started_s = clock.boottime()
-                self._pass_body_bytes(source, data)
+                self._account.hold(head_bytes + body.size + len(data))
+                self._http.receive_data(data)
                 continue
             else:
                 raise h11.RemoteProtocolError("the request body is incomplete")
             self._pacer.end_turn(turn_started_s)
             turn_started_s = clock.boottime()
-        self._account.hold(head_bytes + body.size + len(self._unread))
+        unread_bytes = len(self._http.trailing_data[0])
+        self._account.hold(head_bytes + body.size + unread_bytes)
         request.body = body.take()
 
     def _read_head_event(
@@ -205,51 +204,31 @@
             else request_limits.header_timeout_s
         )
         deadline_s = clock.boottime() + timeout_s
-        # The body must not reach the parser together with the head: the chunks
-        # of a body are merged from their first one on.
-        tail = b""
         while True:
             event = self._http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = self._receive(deadline_s, RECV_BYTES)
+            data = self._receive(deadline_s)
             if data and self.is_idle:
                 self.is_idle = False
                 deadline_s = clock.boottime() + request_limits.header_timeout_s
-            match = _HEAD_END.search(tail + data)
-            head_end = match.end() - len(tail) if match else len(data)
-            tail = b"" if match else (tail + data)[-_HEAD_END_BYTES:]
-            self._unread = data[head_end:]
-            self._unparsed_bytes += head_end
-            self._account.hold(self._unparsed_bytes + len(self._unread))
-            self._http.receive_data(data[:head_end])
-
-    def _pass_body_bytes(self, source: _BodySource, data: bytes) -> None:
-        """Passes bytes of the body to the parser; none mean the end."""
-        body_data = source.feed(data)
-        self._unread += source.take_rest()
-        # An incomplete size line of a chunk is held back; for the parser, no
-        # bytes would mean that the caller has closed the connection.
-        if body_data or not data:
-            self._http.receive_data(body_data)
-
-    def _receive_body(
-        self, request_limits: limits.RequestLimits, source: _BodySource
+            self._unparsed_bytes += len(data)
+            self._account.hold(self._unparsed_bytes)
+            self._http.receive_data(data)
+
+    def _receive(
+        self, deadline_s: float, byte_count: int = RECV_BYTES
     ) -> bytes:
-        """Returns the next bytes after the head; empty at the end."""
-        deadline_s = clock.boottime() + request_limits.header_timeout_s
-        return self._receive(deadline_s, source.recv_bytes)
+        """Returns the next bytes; none at the end of the connection.
 
-    def _receive(self, deadline_s: float, byte_count: int) -> bytes:
-        """Returns bytes that were held back, or else new ones.
+        Args:
+            deadline_s: Deadline in seconds of `clock.boottime`.
+            byte_count: Largest number of bytes.
 
         Raises:
             TimeoutError: Nothing arrived before the deadline.
             OSError: The connection failed.
         """
-        if self._unread:
-            data, self._unread = self._unread, b""
-            return data
         remaining_s = deadline_s - clock.boottime()
         if remaining_s <= 0:
             raise TimeoutError
@@ -257,61 +236,11 @@
         return self._sock.recv(byte_count)
 
 
-class _BodySource:
-    """Splits a body of declared length from what follows it.
-
-    Attributes:
-        recv_bytes: Largest number of bytes to receive at once.
-    """
-
-    __slots__ = ("recv_bytes", "_left_bytes", "_rest")
-
-    def __init__(self, length: int) -> None:
-        self.recv_bytes = RECV_BYTES
-        self._left_bytes = length
-        self._rest = b""
-
-    def feed(self, data: bytes) -> bytes:
-        """Returns the bytes for the parser."""
-        part, self._rest = data[: self._left_bytes], data[self._left_bytes :]
-        self._left_bytes -= len(part)
-        return part
-
-    def take_rest(self) -> bytes:
-        """Returns the bytes that follow the end of the body."""
-        rest, self._rest = self._rest, b""
-        return rest
-
-
-class _ChunkedBodySource(_BodySource):
-    """Merges the chunks of a body."""
-
-    __slots__ = ("_merger",)
-
-    def __init__(self) -> None:
-        super().__init__(0)
-        self.recv_bytes = _CHUNKED_RECV_BYTES
-        self._merger = chunk_merging.ChunkMerger()
-
-    def feed(self, data: bytes) -> bytes:
-        """Returns the bytes for the parser."""
-        return self._merger.feed(data)
-
-    def take_rest(self) -> bytes:
-        """Returns the bytes that follow the end of the body."""
-        rest, self._merger.rest = self._merger.rest, b""
-        return rest
-
-
-def _make_body_source(request: Request) -> _BodySource:
-    """Returns what splits the body of a request from what follows it."""
-    for name, value in request.headers:
-        key = name.lower()
-        if key == b"transfer-encoding":
-            return _ChunkedBodySource()
-        if key == b"content-length":
-            return _BodySource(int(value))
-    return _BodySource(0)
+def _is_chunked(request: Request) -> bool:
+    """Returns whether the body of a request comes in chunks."""
+    return any(
+        name.lower() == b"transfer-encoding" for name, _ in request.headers
+    )
 
 
 def _estimate_head_bytes(request: Request) -> int:
