Fuzz the borders of responses as those of requests

Oracles: the parser alone, and a strict reader of RFC 9112 (tests/framing_messages.py, moved out of the fuzz of requests unchanged).

--- a/libs/http/tests/test_request_framing_fuzz.py
+++ b/libs/http/tests/test_request_framing_fuzz.py
@@ -11,6 +11,7 @@
 import re
 import unittest
 
+import framing_messages
 import h11
 import hypothesis
 from hypothesis import strategies
@@ -20,51 +21,8 @@
 from dandelionlead.http import request_reader
 
 _LIMITS = limits.RequestLimits(max_header_bytes=4_096, max_body_bytes=100_000)
-_TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-_REQUEST_LINE = re.compile(rb"(" + _TOKEN + rb") ([!-~]+) HTTP/1\.1\r\n")
-_FIELD_LINE = re.compile(
-    rb"(" + _TOKEN + rb"):[ \t]*([!-~](?:[ \t!-~]*[!-~])?)?[ \t]*\r\n"
-)
-_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})(?:;[!-~]*)?\r\n")
+_REQUEST_LINE = re.compile(rb"([A-Z]+) ([!-~]+) HTTP/1\.1\r\n")
 
-# Bodies whose content looks like framing.
-_CONTENTS = strategies.one_of(
-    strategies.binary(max_size=30),
-    strategies.sampled_from(
-        (
-            b"A\r\n0123456789\r\n",
-            b"x\r\nA\r\n0123456789\r\n",
-            b"x\r\n3\r\nabc\r\n0\r\n\r\n"
-            b"POST /inner HTTP/1.1\r\nHost: a\r\n\r\n",
-            b"0\r\n\r\n",
-            b"0\r\n\r\nPOST /inner HTTP/1.1\r\nHost: a\r\n\r\n",
-            b"POST /inner HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nab",
-        )
-    ),
-)
-_VALID_SIZE_LINES = (b"%x\r\n", b"%X\r\n", b"0%x\r\n", b"%x;ext=1\r\n")
-_SIZE_LINES = (
-    *_VALID_SIZE_LINES,
-    b"%x \r\n",
-    b"%x\n",
-    b"+%x\r\n",
-    b"-%x\r\n",
-    b"0x%x\r\n",
-    b"%xg\r\n",
-)
-_VALID_LAST_CHUNKS = (
-    b"0\r\n\r\n",
-    b"0\r\nTrailer: x\r\n\r\n",
-    b"0;ext\r\n\r\n",
-    b"00\r\n\r\n",
-)
-_LAST_CHUNKS = (
-    *_VALID_LAST_CHUNKS,
-    b"0\r\nContent-Length: 5\r\n\r\n",
-    b"0\n\n",
-    b"0\r\n",
-    b"",
-)
 _FIELDS = strategies.lists(
     strategies.sampled_from(
         (
@@ -87,20 +45,6 @@
 )
 
 
-@strategies.composite
-def _chunked_bodies(draw: strategies.DrawFn, *, is_valid: bool) -> bytes:
-    """Draws a body in chunks."""
-    size_lines = _VALID_SIZE_LINES if is_valid else _SIZE_LINES
-    last_chunks = _VALID_LAST_CHUNKS if is_valid else _LAST_CHUNKS
-    ends = (b"\r\n",) if is_valid else (b"\r\n",) * 9 + (b"\n", b"")
-    body = b""
-    for content in draw(strategies.lists(_CONTENTS, max_size=3)):
-        if content:
-            size_line = draw(strategies.sampled_from(size_lines)) % len(content)
-            body += size_line + content + draw(strategies.sampled_from(ends))
-    return body + draw(strategies.sampled_from(last_chunks))
-
-
 @strategies.composite
 def _requests(
     draw: strategies.DrawFn,
@@ -115,7 +59,7 @@
     framing = draw(strategies.sampled_from(framings))
     body = b""
     if framing == "length":
-        body = draw(_CONTENTS)
+        body = draw(framing_messages.CONTENTS)
         values = (b"%d", b"0%d")
         if not is_valid:
             values += (b"+%d", b"%d,%d")
@@ -123,32 +67,19 @@
         sizes = (len(body),) * value.count(b"%d")
         fields.append(b"Content-Length: " + value % sizes + b"\r\n")
     elif framing == "chunks":
-        body = draw(_chunked_bodies(is_valid=is_valid))
+        body = draw(framing_messages.chunked_bodies(is_valid=is_valid))
         fields.append(b"Transfer-Encoding: chunked\r\n")
     return head + b"".join(fields) + b"\r\n" + body
 
 
-@strategies.composite
-def _cut(draw: strategies.DrawFn, requests: list[bytes]) -> list[bytes]:
-    """Draws the pieces in which pipelined requests arrive."""
-    data = b"".join(requests)
-    line_ends = [match.end() for match in re.finditer(rb"\n", data)]
-    cut = strategies.one_of(
-        strategies.integers(0, len(data)), strategies.sampled_from(line_ends)
-    )
-    cuts = draw(strategies.lists(cut, max_size=4))
-    borders = [0, *sorted(cuts), len(data)]
-    return [data[i:j] for i, j in zip(borders, borders[1:], strict=False)]
-
-
 _ALL_CONNECTIONS = strategies.lists(
     strategies.one_of(_requests(is_valid=True), _requests(is_valid=False)),
     min_size=1,
     max_size=4,
-).flatmap(_cut)
+).flatmap(framing_messages.cut)
 _VALID_CHUNKED_CONNECTIONS = strategies.lists(
     _requests(is_valid=True, framings=("chunks",)), min_size=2, max_size=3
-).flatmap(_cut)
+).flatmap(framing_messages.cut)
 
 
 class _Message:
@@ -166,25 +97,6 @@
         return f"{self.method} {self.target} {self.body}"
 
 
-class _PieceSocket:
-    """Returns the bytes of a connection in pieces, and then its end."""
-
-    def __init__(self, pieces: list[bytes]) -> None:
-        self._pieces = [piece for piece in pieces if piece]
-
-    def settimeout(self, timeout_s: float) -> None:
-        """Does nothing."""
-
-    def recv(self, size: int) -> bytes:
-        """Returns the next piece, or a part of it."""
-        if not self._pieces:
-            return b""
-        piece = self._pieces.pop(0)
-        if len(piece) > size:
-            self._pieces.insert(0, piece[size:])
-        return piece[:size]
-
-
 def _answer(conn: h11.Connection) -> bool:
     """Answers a request; returns whether another one may follow."""
     conn.send(
@@ -202,7 +114,7 @@
     conn = h11.Connection(h11.SERVER, max_incomplete_event_size=4_096)
     callers = intake.Intake()
     reader = request_reader.RequestReader(
-        _PieceSocket(pieces),
+        framing_messages.PieceSocket(pieces),
         conn,
         callers.open_account("a", lambda: None),
         callers.pacer,
@@ -244,12 +156,8 @@
     return messages
 
 
-class _StrictReader:
-    """Reads requests by the grammar of RFC 9112, and nothing beside it."""
-
-    def __init__(self, data: bytes) -> None:
-        self._data = data
-        self._position = 0
+class _StrictReader(framing_messages.StrictReader):
+    """Reads requests strictly."""
 
     def read_all(self) -> list[_Message]:
         """Returns the requests up to the first that is not strictly valid."""
@@ -258,61 +166,16 @@
             messages.append(message)
         return messages
 
-    def _match(self, pattern: re.Pattern[bytes]) -> re.Match[bytes] | None:
-        match = pattern.match(self._data, self._position)
-        if match:
-            self._position = match.end()
-        return match
-
-    def _take(self, size: int) -> bytes | None:
-        data = self._data[self._position : self._position + size]
-        self._position += size
-        return data if len(data) == size else None
-
-    def _read_fields(self) -> list[tuple[bytes, bytes]] | None:
-        fields = []
-        while match := self._match(_FIELD_LINE):
-            fields.append((match[1].lower(), match[2] or b""))
-        return fields if self._take(2) == b"\r\n" else None
-
     def _read_request(self) -> _Message | None:
-        line = self._match(_REQUEST_LINE)
-        fields = self._read_fields() if line else None
+        line = self.match(_REQUEST_LINE)
+        fields = self.read_fields() if line else None
         if fields is None:
             return None
-        names = [name for name, _ in fields]
-        if names.count(b"host") != 1:
+        if [name for name, _ in fields].count(b"host") != 1:
             return None
-        framing = [
-            (name, value)
-            for name, value in fields
-            if name in (b"content-length", b"transfer-encoding")
-        ]
-        body = self._read_body(framing)
+        body = self.read_body(fields)
         return None if body is None else _Message(line[1], line[2], body)
 
-    def _read_body(self, framing: list[tuple[bytes, bytes]]) -> bytes | None:
-        if not framing:
-            return b""
-        name, value = framing[0]
-        if len(framing) > 1:
-            return None
-        if name == b"content-length":
-            return self._take(int(value)) if value.isdigit() else None
-        return self._read_chunks() if value.lower() == b"chunked" else None
-
-    def _read_chunks(self) -> bytes | None:
-        body = b""
-        while match := self._match(_CHUNK_LINE):
-            size = int(match[1], 16)
-            if not size:
-                return None if self._read_fields() is None else body
-            data = self._take(size)
-            if data is None or self._take(2) != b"\r\n":
-                return None
-            body += data
-        return None
-
 
 class PipelinedChunksTest(unittest.TestCase):
     """Guards against a request that is smuggled out of a body (case 6).
