Drop a refused request before its refusal is sent

Callers saw nothing; the process kept all that a refused request had brought for as long as its caller stayed, up to two seconds more, while its account said that it held nothing.

Cause: the refusal was written and the rest of the input discarded inside the `except` block. The exception referred to the frames of the reader, and these to the request, its fields and its body; the parser kept what it had not parsed. A TimeoutError of the socket is part of a reference cycle with such a frame, so that leaving the block was not enough.

Change: the frames are cleared and the parser is replaced before the refusal is sent.

A test with three refusals (408, 413, 400) fails in all three before this change and passes after it.

--- a/libs/http/src/dandelionlead/http/request_reader.py
+++ b/libs/http/src/dandelionlead/http/request_reader.py
@@ -190,6 +190,14 @@
         self._account.hold(head_bytes + body.size + unread_bytes)
         request.body = body.take()
 
+    def drop_input(self, http: h11.Connection) -> None:
+        """Drops what has arrived with the parser that holds it.
+
+        Args:
+            http: The parser that takes its place.
+        """
+        self._http = http
+
     def _read_head_event(
         self, request_limits: limits.RequestLimits
     ) -> h11.Event:
--- a/libs/http/src/dandelionlead/http/server.py
+++ b/libs/http/src/dandelionlead/http/server.py
@@ -14,6 +14,7 @@
 import itertools
 import json
 import socket
+import traceback
 from collections.abc import Iterable
 from collections.abc import Iterator
 
@@ -202,6 +203,26 @@
         self._conn.write_deadline_s = deadline_s
 
 
+class _Rejection:
+    """Why a request was not passed on.
+
+    Attributes:
+        status: HTTP status code.
+        message: What is wrong, for the caller.
+        retry_after_s: Seconds after which the caller may come again; None if
+            that would not help.
+    """
+
+    __slots__ = ("status", "message", "retry_after_s")
+
+    def __init__(
+        self, status: int, message: str, retry_after_s: float | None = None
+    ) -> None:
+        self.status = status
+        self.message = message
+        self.retry_after_s = retry_after_s
+
+
 class ServerConnection:
     """One accepted connection and its HTTP parser.
 
@@ -369,30 +390,52 @@
         """
         self._account.start_waiting()
         try:
-            request = self._reader.read_head(request_limits)
-            if request is None:
-                return None
-            self._send_continue(request_limits)
-            self._reader.read_body(
-                request,
-                request_limits,
-                must_keep=self._handler.needs_body(request),
-            )
-        except h11.RemoteProtocolError as exc:
-            self._reject_request(exc.error_status_hint, str(exc))
-            return None
-        except TimeoutError:
-            if not self.is_idle:
-                self._reject_request(
-                    408, "the request was not complete in time"
-                )
+            request = self._receive_request(request_limits)
+        except (
+            h11.RemoteProtocolError,
+            TimeoutError,
+            intake.IntakeFullError,
+        ) as exc:
+            # What has arrived must not stay in memory with the exception.
+            traceback.clear_frames(exc.__traceback__)
+            rejection = self._find_rejection(exc)
+        else:
+            self._account.stop_waiting()
+            self._account.served_count += request is not None
+            return request
+        if rejection is not None:
+            self._reject_request(rejection)
+        return None
+
+    def _find_rejection(self, exc: Exception) -> _Rejection | None:
+        """Returns why a request is rejected; None if nobody waits for that."""
+        if isinstance(exc, h11.RemoteProtocolError):
+            return _Rejection(exc.error_status_hint, str(exc))
+        if isinstance(exc, TimeoutError):
+            message = "the request was not complete in time"
+            return None if self.is_idle else _Rejection(408, message)
+        if self._account.is_evicted:
             return None
-        except intake.IntakeFullError as exc:
-            if not self._account.is_evicted:
-                self._reject_request(503, str(exc), _RETRY_AFTER_S)
+        return _Rejection(503, str(exc), _RETRY_AFTER_S)
+
+    def _receive_request(
+        self, request_limits: limits.RequestLimits
+    ) -> request_reader.Request | None:
+        """Receives one request; returns None if the caller closes first.
+
+        Raises:
+            TimeoutError, OSError, intake.IntakeFullError,
+                h11.RemoteProtocolError: As for `RequestReader.read_body`.
+        """
+        request = self._reader.read_head(request_limits)
+        if request is None:
             return None
-        self._account.stop_waiting()
-        self._account.served_count += 1
+        self._send_continue(request_limits)
+        self._reader.read_body(
+            request,
+            request_limits,
+            must_keep=self._handler.needs_body(request),
+        )
         return request
 
     def _send_continue(self, request_limits: limits.RequestLimits) -> None:
@@ -407,35 +450,29 @@
         )
         self.write(self.encode_event(continue_response))
 
-    def _reject_request(
-        self, status: int, message: str, retry_after_s: float | None = None
-    ) -> None:
-        """Rejects a request that was not passed on with an error response.
-
-        Args:
-            status: HTTP status code.
-            message: What is wrong, for the caller.
-            retry_after_s: Seconds after which the caller may come again; None
-                if that would not help.
-        """
+    def _reject_request(self, rejection: _Rejection) -> None:
+        """Rejects a request that was not passed on with an error response."""
         self._account.release()
         self.write_deadline_s = clock.boottime() + _REJECTION_TIMEOUT_S
-        body = json.dumps({"error": message}).encode()
+        body = json.dumps({"error": rejection.message}).encode()
         headers = [
             (b"Content-Type", b"application/json"),
             (b"Content-Length", b"%d" % len(body)),
             (b"Connection", b"close"),
         ]
-        if retry_after_s is not None:
-            headers.append((b"Retry-After", b"%.3f" % retry_after_s))
+        if rejection.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.3f" % rejection.retry_after_s))
         try:
             data = self.encode_event(
-                h11.Response(status_code=status, headers=headers)
+                h11.Response(status_code=rejection.status, headers=headers)
             )
             data += self.encode_event(h11.Data(data=body))
             data += self.encode_event(h11.EndOfMessage())
         except h11.LocalProtocolError:
             return  # A response was started; it stays incomplete.
+        # The parser keeps what has arrived; no request follows a rejected one.
+        self._http = h11.Connection(h11.SERVER)
+        self._reader.drop_input(self._http)
         self.write(data)
         self._discard_input()
 
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -7,12 +7,14 @@
 
 from __future__ import annotations
 
+import gc
 import re
 import socket
 import unittest
 
 import eventlet
 import eventlet.green.socket as green_socket
+import h11
 
 from dandelionlead.http import disconnect_watcher
 from dandelionlead.http import limits
@@ -195,6 +197,39 @@
         self.assertEqual(self.handler.disconnect_count, 1)
 
 
+class RejectionTest(_ListenerTestCase):
+    """Guards against refused requests that stay in memory until the close."""
+
+    def test_refused_request_is_dropped_before_the_caller_closes(self) -> None:
+        # Bytes sent before the body and the status of the refusal.
+        cases = (
+            (b"Content-Length: 2000\r\n\r\n" + b"x" * 1_999, 408),
+            (b"Content-Length: 3000\r\n\r\n" + b"x" * 2_999, 413),
+            (
+                b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\nnot a size\r\n",
+                400,
+            ),
+        )
+        for data, status in cases:
+            with self.subTest(status=status):
+                earlier = self.list_held()
+                sock = self.connect_and_send(
+                    b"POST / HTTP/1.1\r\n" + _HOST_HEADER + data
+                )
+                self.assertIn(b"%d" % status, sock.recv(65_536))
+                self.assertEqual(self.list_held() - earlier, set())
+                sock.close()
+
+    def list_held(self) -> set[object]:
+        """Returns the objects that hold what callers have sent."""
+        return {
+            item
+            for item in gc.get_objects()
+            if isinstance(item, request_reader.Request)
+            or (isinstance(item, h11.Connection) and item.trailing_data[0])
+        }
+
+
 class SplitRequestTest(_ListenerTestCase):
     """Guards against a body that depends on how its request was split.
 
