Reset the connection of a request that is given up before its response

What was seen: a worker that had said that it leaves got a request 2.3 s later (DRAIN, 2.0 allowed), which had been given up 5.6 s before behind a cut. Its caller had long got another answer.

Cause: the connection was closed in the orderly way, so that what the cut held back was delivered when it healed.

Change, in the one place where all connections to workers, engines and the store end: `ClientConnection.close` resets if a request was sent and its response has not begun. Looked at: calls, control requests, status checks, requests to the store, calls whose caller has gone; all end there. Connections whose response has begun end in order as before.

Test: a link that holds bytes back and loses them on a reset; 2 of 4 cases fail before.

--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -471,24 +471,31 @@
             return False
         return False
 
-    def close(self, *, reset: bool = False) -> None:
+    def close(self) -> None:
         """Closes the connection.
 
-        Args:
-            reset: Whether to end the connection with a TCP reset instead of an
-                orderly close.
+        One whose request has no response is reset: a network that holds the
+        request back then loses it, where an orderly close would let it arrive
+        long after it was given up.
         """
         if self._closed:
             return
         self._closed = True
         with contextlib.suppress(OSError):
-            if reset:
+            if self._awaits_response():
                 self._sock.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
                 )
         with contextlib.suppress(OSError):
             self._sock.close()
 
+    def _awaits_response(self) -> bool:
+        """Returns whether a request was sent whose response has not begun."""
+        return (
+            self._http.our_state is not h11.IDLE
+            and self._http.their_state is h11.SEND_RESPONSE
+        )
+
     def _next_event(self, deadline_s: float) -> h11.Event | errors.Failure:
         """Reads until the parser returns an event, or until the deadline."""
         while True:
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -157,7 +157,7 @@
                 started_s = clock.boottime()
                 conn, read_head, body = _request(endpoint)
                 took_s = clock.boottime() - started_s
-                conn.close(reset=True)
+                conn.close()
                 ticker.kill()
                 endpoint.close()
                 last = read_head if body is None else body
@@ -229,6 +229,75 @@
                 conn.close()
 
 
+class _HeldLink:
+    """Takes one connection; passes on what it holds when the cut heals.
+
+    Attributes:
+        address: IP address and port that the link listens on.
+    """
+
+    def __init__(self) -> None:
+        self._sock = green_socket.socket()
+        self._sock.bind(("127.0.0.1", 0))
+        self._sock.listen(1)
+        self.address = self._sock.getsockname()
+
+    def accept(self, response: bytes) -> None:
+        """Accepts the connection and sends the start of a response."""
+        self._conn, _ = self._sock.accept()
+        self._conn.sendall(response)
+
+    def heal(self) -> bytes | None:
+        """Returns what the endpoint gets; None if it was reset meanwhile."""
+        held = b""
+        try:
+            while part := client.receive_bytes(self._conn, 65_536, _TIMEOUT_S):
+                held += part
+        except ConnectionResetError:
+            return None
+        return held
+
+
+class AbandonedRequestTest(unittest.TestCase):
+    """Guards against requests that arrive long after they were given up.
+
+    A cut held a request back; when it healed, the request reached a worker that
+    had said seconds before that it leaves (DRAIN).
+    """
+
+    # What of the response has arrived when the connection is closed, and
+    # whether the request still arrives.
+    CASES = (
+        (b"", False),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", False),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", True),
+        (_COMPLETE_RESPONSE, True),
+    )
+
+    def test_request_without_a_response_is_lost_with_its_connection(
+        self,
+    ) -> None:
+        for response, arrives in self.CASES:
+            with self.subTest(response=response):
+                link = _HeldLink()
+                conn = client.connect(link.address, _TIMEOUT_S)
+                conn.send_request(
+                    b"POST", b"/x", [(b"Host", b"a")], b"", _TIMEOUT_S
+                )
+                link.accept(response)
+                head = conn.read_head(clock.boottime() + 0.1)
+                self.assertEqual(isinstance(head, errors.Failure), not arrives)
+                conn.close()
+                self.assertEqual(link.heal() is not None, arrives)
+
+    def test_connection_without_a_request_ends_in_order(self) -> None:
+        link = _HeldLink()
+        conn = client.connect(link.address, _TIMEOUT_S)
+        link.accept(b"")
+        conn.close()
+        self.assertEqual(link.heal(), b"")
+
+
 class StatusTest(unittest.TestCase):
     """Guards against a status outside the protocol that passes as an answer.
 
