Believe the end of a body without a length only if its endpoint lives

Cause: the kernel closes the connections of a killed process in order. A body whose only end is that of its connection ends alike whether it is whole or not; the relay believed it between two events, the exchange always.

Change: once such a body has ended, the endpoint must accept another connection, 50 ms later (`Sender.find_broken_end`, used by both); it goes to the pool. Otherwise the body counts as broken off and takes the paths that exist: resumption, another worker, an answer that isn't complete.

--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -496,12 +496,17 @@
         body = response.conn.receive_body(
             admitted.deadline_s, sending.MAX_BODY_BYTES
         )
+        broken = (
+            body
+            if isinstance(body, errors.Failure)
+            else deps.sender.find_broken_end(response)
+        )
         now_s = clock.boottime()
         self._record_begun_if_plain(run)
         self.progress.end_attempt(errors.RunState.RAN)
-        if isinstance(body, errors.Failure):
+        if broken is not None:
             deps.scheduler.health_tracker.record_unreachable(endpoint_id, now_s)
-            self._failure = body
+            self._failure = broken
             return False
         head = response.head
         deps.sender.return_conn(response)
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -279,25 +279,25 @@
     ) -> errors.Failure | None:
         """Returns why a response that ended is incomplete; None if it is not.
 
-        A body that ends with the connection also ends so if the engine breaks
-        it off, or if the final copy for a migration stops the run. Once the
-        final copy was requested, such a body is complete only if the engine
-        states that it did not stop the run.
+        A body that ends with the connection also ends so if the engine crashes,
+        or if the final copy for a migration stops the run. Once the final copy
+        was requested, such a body is complete only if the engine states that it
+        did not stop the run.
         """
         failure = self._stream_checks.find_truncation(
             ends_with_connection=ended_response.head.ends_with_connection
         )
         if failure is not None or not ended_response.head.ends_with_connection:
             return failure
-        if self._run.stop_event is None:
-            return None
-        stop_result = self._resumption.await_stop()
-        if stop_result is runs.StopResult.NOT_STOPPED:
-            return None
-        return errors.Failure(
-            errors.Kind.ENDPOINT_FAILED,
-            f"the run may have been stopped to migrate it: {stop_result.value}",
-        )
+        if self._run.stop_event is not None:
+            stop_result = self._resumption.await_stop()
+            if stop_result is not runs.StopResult.NOT_STOPPED:
+                return errors.Failure(
+                    errors.Kind.ENDPOINT_FAILED,
+                    "the run may have been stopped to migrate it:"
+                    f" {stop_result.value}",
+                )
+        return self._sender.find_broken_end(ended_response)
 
     def _start_response(self, head: calls.EndpointResponseHead) -> None:
         """Sends the response head to the caller unless it was sent already.
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import eventlet
+
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.gateway import connection_pool
@@ -21,6 +23,12 @@
 # Limit on the response heads that are read on one connection to find the one
 # that belongs to the call; the others belong to earlier requests.
 _MAX_RESPONSE_HEADS = 3
+# Attempts to connect to an endpoint whose body has ended with its connection.
+# The network may lose the first one.
+_MAX_END_CHECKS = 2
+# Seconds from the end of the body to the first attempt. The kernel closes the
+# listening socket of a killed process after its connections.
+_END_CHECK_DELAY_S = 0.05
 
 
 class EndpointResponse:
@@ -160,6 +168,35 @@
         response.is_pooled = True
         self._pool.release(response.endpoint, response.conn)
 
+    def find_broken_end(
+        self, response: EndpointResponse
+    ) -> errors.Failure | None:
+        """Returns why a body that has ended may be incomplete, or None.
+
+        A body without a length ends with its connection, and so it does if its
+        endpoint crashes. An endpoint that accepts another connection after that
+        has not crashed, even if it has too many and closes it.
+
+        Args:
+            response: The response; its body has been read to the end.
+        """
+        if not response.head.ends_with_connection:
+            return None
+        eventlet.sleep(_END_CHECK_DELAY_S)
+        for _ in range(_MAX_END_CHECKS):
+            conn = self._pool.acquire(
+                response.endpoint,
+                connection_pool.CONNECT_TIMEOUT_S,
+                must_be_new=True,
+            )
+            if not isinstance(conn, errors.Failure):
+                self._pool.put_back(response.endpoint, conn)
+                return None
+        return errors.Failure(
+            errors.Kind.ENDPOINT_FAILED,
+            f"the body ended with its connection, and then: {conn.reason}",
+        )
+
     def send_control_request(
         self,
         endpoint: model.Endpoint,
--- a/libs/gateway/tests/engine_fakes.py
+++ b/libs/gateway/tests/engine_fakes.py
@@ -113,6 +113,9 @@
         engine, run = self._engine, self._run
         while True:
             now_s = clock.boottime()
+            if engine.is_gone and not engine.sends_length:
+                # A process that is killed closes its connections in order.
+                return client.BODY_END
             if engine.is_gone:
                 return _fail("the connection was reset")
             if run.is_stopped:
@@ -220,6 +223,15 @@
                     f"{run.request_id} at {other.endpoint.endpoint_id}"
                 )
 
+    def find_broken_end(
+        self, response: sending.EndpointResponse
+    ) -> errors.Failure | None:
+        """Returns a failure if the engine has ended and named no length."""
+        engine = self._engines[response.endpoint.endpoint_id]
+        if response.head.ends_with_connection and engine.is_gone:
+            return _fail("the engine has ended")
+        return None
+
     def return_conn(self, response: sending.EndpointResponse) -> None:
         """Does nothing: each call has a connection of its own."""
         response.is_pooled = True
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -78,6 +78,8 @@
         self.full_ids = full_ids
         self.activity = link_activity.LinkActivity()
         self.call_count = 0
+        # Whether engines accept no connection once their bodies have ended.
+        self.has_crashed = False
         # Seconds until the response to a call, its status and its connection.
         self.resumed = (0.0, 503, _FakeConn())
         # Seconds until the response to a request for a final copy, and this
@@ -105,6 +107,12 @@
             return 503, b""
         return 200, b"copied"
 
+    def find_broken_end(self, response):
+        ends_with_connection = response.head.ends_with_connection
+        if not ends_with_connection or not self.has_crashed:
+            return None
+        return errors.Failure(errors.Kind.ENDPOINT_FAILED, "refused")
+
     def return_conn(self, response):
         response.is_pooled = True
 
@@ -870,6 +878,48 @@
         self.assertEqual(writer.body, b"id: 1\ndata: a\n\n" + rest)
 
 
+class CrashedEngineTest(_RelayCase):
+    """Guards against a stream of a crashed engine that looks complete (ORDER).
+
+    Review case 8: the kernel closes the connections of a killed process in
+    order, so that a stream without a length ends as a whole one does. Callers
+    got 7, 20 or 31 of 60 events as complete.
+    """
+
+    EVENT = b"id: 1\ndata: a\n\n"
+    REST = b"id: 2\ndata: b\n\n"
+
+    def test_stream_is_complete_only_if_its_engine_lives(self) -> None:
+        # Whether the engine has crashed, whether the body ends with its
+        # connection, whether a backup exists; whether the caller's stream is
+        # complete, and its events.
+        cases = (
+            (False, True, False, True, self.EVENT),
+            (True, False, False, True, self.EVENT),
+            (True, True, False, False, self.EVENT),
+            (True, True, True, True, self.EVENT + self.REST),
+        )
+        for crashed, ends, has_backup, is_complete, body in cases:
+            with self.subTest(crashed=crashed, ends=ends, backup=has_backup):
+                self.setUp()
+                self.sender.has_crashed = crashed
+                self.sender.resumed = (0.0, 200, _FakeConn(self.REST))
+                run = self.start_run("e0")
+                run.admitted.deadline_s = clock.boottime() + 5.0
+                if has_backup:
+                    run.backup_engine = self.view.endpoints["e1"]
+                writer = _FakeResponseWriter()
+                outcome = self.relay(
+                    run,
+                    writer,
+                    _FakeConn(self.EVENT),
+                    ends_with_connection=ends,
+                )
+                self.assertEqual(outcome.is_complete, is_complete)
+                self.assertEqual(writer.has_ended, is_complete)
+                self.assertEqual(writer.body, body)
+
+
 class AttemptLimitTest(_RelayCase):
     """Guards against a generation that runs on more engines than its route.
 
--- a/libs/gateway/tests/test_pool.py
+++ b/libs/gateway/tests/test_pool.py
@@ -83,6 +83,13 @@
                         self.pool.release(self.endpoint, conn)
                 self.assertEqual(len(self.pool._idle_conns["e"]), kept_count)
 
+    def test_connection_without_a_request_may_be_put_back(self) -> None:
+        conn = self.pool.acquire(self.endpoint, 1.0, must_be_new=True)
+        self.pool.put_back(self.endpoint, conn)
+        self.assertIs(
+            self.pool.acquire(self.endpoint, 1.0, must_send_once=True), conn
+        )
+
     def test_dropped_connection_lowers_the_idle_limit(self) -> None:
         self.pool.lower_idle_limit(self.endpoint, 0.4)
         conn = self._add_idle_conn(0.3)
