Test the account of memory with connections that end late

Without the wait, or if either count of bytes isn't given back, all 20 fail (three mutations on a scratch copy).

--- a/libs/http/tests/test_intake.py
+++ b/libs/http/tests/test_intake.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import random
 import unittest
 from unittest import mock
 
 import eventlet
+import greenlet
 
 from dandelionlead.http import intake
 from dandelionlead.http import turn_pacer
@@ -156,6 +158,58 @@
             holding.wait()
 
 
+class LateEndTest(unittest.TestCase):
+    """Guards against leaks if connections end some time after they had to go.
+
+    Random callers and responses take and return room, are refused, are closed
+    to make room, or are killed while they wait.
+    """
+
+    SEED_COUNT = 20
+    PEER_COUNT = 30
+
+    def test_what_is_held_is_within_the_limit_and_returned(self) -> None:
+        for seed in range(self.SEED_COUNT):
+            with self.subTest(seed=seed):
+                rng = random.Random(seed)
+                peers = intake.Intake(64 * _MEGABYTE)
+                threads = [
+                    eventlet.spawn(
+                        self._play, peers, random.Random(rng.random())
+                    )
+                    for _ in range(self.PEER_COUNT)
+                ]
+                eventlet.sleep(0.01)
+                for thread in rng.sample(threads, 5):
+                    thread.kill()
+                for thread in threads:
+                    with contextlib.suppress(greenlet.GreenletExit):
+                        thread.wait()
+                self.assertEqual(peers.held_bytes, 0)
+                self.assertEqual(peers.leaving_bytes, 0)
+                self.assertEqual(peers.connection_count, 0)
+
+    def _play(self, peers: intake.Intake, rng: random.Random) -> None:
+        """Takes and returns room for one connection."""
+        if rng.random() < 0.5:
+            account = peers.open_account(rng.choice("ab"), lambda: None)
+            account.start_waiting()
+        else:
+            account = peers.open_response(lambda: None)
+        try:
+            for _ in range(5):
+                size = rng.choice((0, 0.01, 1, 2, 7)) * _MEGABYTE
+                account.hold(int(size))
+                if size > intake.CONNECTION_BYTES:
+                    self.assertTrue(peers.has_room())
+                eventlet.sleep(rng.random() * 0.005)
+        except intake.IntakeFullError:
+            # Its greenlet ends some time after it had to go.
+            eventlet.sleep(rng.random() * 0.01)
+        finally:
+            account.close()
+
+
 class ResponseTest(unittest.TestCase):
     """Guards against endpoints whose bodies take the room of all others."""
 
