Wait 0.6 s for an engine's statement that it keeps its run

Cause, by the logs of the failing run: engines that lived refused to stop the run (404) after 104 to 506 ms. The system had waited 0.1 s, closed the connection and gone on at the engine with the backup; the refusal came after that. 0.1 s for a connection and 0.1 s for the refusal were bounds for an idle machine.

Change: 0.3 s for the connection, as other checks of a connection have, and 0.6 s for the statement: callers give a stream up after a gap of 2 s, less 0.8 s of silence, less the first event of the other engine. The pause that led here has exceeded what a stream may pause by then. Looked at: silence, broken connections and migrations use the same code.

Test: an engine that refuses after 0.45 s; it fails before. The two cases of copies that come too late have longer delays, as far above the new limit as above the old one.

--- a/libs/gateway/src/dandelionlead/gateway/resumption.py
+++ b/libs/gateway/src/dandelionlead/gateway/resumption.py
@@ -34,7 +34,9 @@
 _MAX_OVERLAP_S = 0.35
 # Longest wait for an engine's statement that it does not stop a run. An engine
 # that can be reached and stops the run is busy with the final copy after that.
-_REFUSAL_TIMEOUT_S = 0.1
+# Callers give a stream up after a gap of 2 s: up to 0.8 s of silence, this, and
+# the first event of the other engine.
+_REFUSAL_TIMEOUT_S = 0.6
 # Limit on the attempts to resume one run.
 _MAX_RESUMPTIONS = 12
 
--- a/libs/gateway/src/dandelionlead/gateway/run_stopping.py
+++ b/libs/gateway/src/dandelionlead/gateway/run_stopping.py
@@ -24,7 +24,7 @@
 # Longest wait for the response to the request for the final copy.
 FINAL_COPY_TIMEOUT_S = 1.0
 # An engine that accepts no connection in this time cannot be reached.
-_CONNECT_TIMEOUT_S = 0.1
+_CONNECT_TIMEOUT_S = 0.3
 _FREE_COPY_TIMEOUT_S = 0.5
 # Statuses of the response to the request for the final copy: the engine runs no
 # such run now, or another copy of the run is still in progress.
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -687,6 +687,8 @@
         # It has no such run now: a run that was preempted goes on there.
         (0.0, (404, b""), None, BACKUP),
         (0.0, (409, b""), None, BACKUP),
+        # The same, said late by an engine on a busy machine.
+        (0.45, (404, b""), None, BACKUP),
         # It does not say whether it has stopped the run.
         (0.0, (500, b""), None, BACKUP),
         (0.0, (503, b""), None, BACKUP),
@@ -695,7 +697,7 @@
         (0.0, (200, b"copied"), COPY, COPY),
         (0.0, (503, b"copied"), COPY, COPY),
         # It has stopped the run, and the final copy takes long.
-        (0.4, (200, b"copied"), BACKUP, BACKUP),
+        (0.9, (200, b"copied"), BACKUP, BACKUP),
         # Another instance has its address; it accepts no connection.
         (0.0, (421, b""), BACKUP, BACKUP),
         (0.0, _UNREACHABLE, BACKUP, BACKUP),
@@ -741,8 +743,8 @@
 
     def test_copy_that_comes_too_late_is_freed(self) -> None:
         silent = errors.Failure(errors.Kind.ENDPOINT_SILENT, "silent")
-        self.play(silent, 0.2, (200, b"copied"))
-        eventlet.sleep(0.2)
+        self.play(silent, 0.8, (200, b"copied"))
+        eventlet.sleep(0.3)
         self.assertIn(("e0", "free", "handle"), self.sender.requests)
 
 
