Give idle connections back to the pool in one place

`release` now prepares a connection and calls `put_back`. The server counted a request by adding a truth value, and ended the wait for its caller also where no request came; it does both for a request only, as before. The docstring of `has_room` said less than it returns.

No behaviour of a request or of the pool changes. Tests of the pool, server, intake, client, migrations and raw workers: 84 passed.

--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -107,17 +107,15 @@
             endpoint: The endpoint that the connection leads to.
             conn: The connection, whose last response has been read completely.
         """
-        idle_conns = self._idle_conns.setdefault(endpoint.endpoint_id, [])
-        is_full = self._is_full(endpoint, idle_conns)
-        if is_full or not conn.try_prepare_reuse():
+        if conn.try_prepare_reuse():
+            self.put_back(endpoint, conn)
+        else:
             conn.close()
-            return
-        idle_conns.append(conn)
 
     def put_back(
         self, endpoint: model.Endpoint, conn: client.ClientConnection
     ) -> None:
-        """Adds a connection that has carried no request since `acquire`.
+        """Adds a connection that is ready for a request.
 
         Closes the connection if the pool holds enough idle ones.
 
@@ -126,21 +124,13 @@
             conn: The connection.
         """
         idle_conns = self._idle_conns.setdefault(endpoint.endpoint_id, [])
-        if self._is_full(endpoint, idle_conns):
-            conn.close()
-            return
-        idle_conns.append(conn)
-
-    def _is_full(
-        self,
-        endpoint: model.Endpoint,
-        idle_conns: list[client.ClientConnection],
-    ) -> bool:
-        """Returns whether enough connections to an endpoint are idle."""
         max_idle_conns = min(
             MAX_IDLE_CONNS_PER_ENDPOINT, self._get_share(endpoint) // 2
         )
-        return len(idle_conns) >= max(1, max_idle_conns)
+        if len(idle_conns) >= max(1, max_idle_conns):
+            conn.close()
+            return
+        idle_conns.append(conn)
 
     def lower_idle_limit(self, endpoint: model.Endpoint, idle_s: float) -> None:
         """Lowers an endpoint's idle limit after it dropped a connection.
--- a/libs/http/src/dandelionlead/http/intake.py
+++ b/libs/http/src/dandelionlead/http/intake.py
@@ -372,7 +372,7 @@
         return account
 
     def has_room(self) -> bool:
-        """Returns whether all that is not free yet is within the limit."""
+        """Returns whether nobody has to wait for those that make room."""
         return self.held_bytes + self.leaving_bytes <= self._max_bytes or (
             not self._leaving_accounts
         )
--- a/libs/http/src/dandelionlead/http/server.py
+++ b/libs/http/src/dandelionlead/http/server.py
@@ -400,8 +400,9 @@
             traceback.clear_frames(exc.__traceback__)
             rejection = self._find_rejection(exc)
         else:
-            self._account.stop_waiting()
-            self._account.served_count += request is not None
+            if request is not None:
+                self._account.stop_waiting()
+                self._account.served_count += 1
             return request
         if rejection is not None:
             self._reject_request(rejection)
