Split the module of rollouts by job

routing.rollouts had 577 lines and five jobs. Nothing that callers see changes. rollouts (191 lines) keeps one rollout: the limit on its calls and its verdict. The rest moves: rollout_registry (172) holds the rollouts of all services, rollout_counts (91) the counts that processes send each other, version_comparison (128) finds versions that fail or are slow, call_durations (49) has their statistics.

The syntax trees of all moved classes, functions and constants equal the old ones but for the module in front of names.

--- a/libs/gateway/src/dandelionlead/gateway/peer_state.py
+++ b/libs/gateway/src/dandelionlead/gateway/peer_state.py
@@ -17,11 +17,13 @@
 from dandelionlead.cluster.gen import ttypes
 from dandelionlead.core import clock
 from dandelionlead.gateway import serving
+from dandelionlead.routing import call_durations
 from dandelionlead.routing import endpoint_limits
 from dandelionlead.routing import endpoint_pace
 from dandelionlead.routing import health
 from dandelionlead.routing import loads
 from dandelionlead.routing import prompt_crashes
+from dandelionlead.routing import rollout_counts
 from dandelionlead.routing import rollouts
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import scheduling
@@ -239,7 +241,7 @@
         )
         for rollout in self._process_state.view.rollouts.list_all():
             counts = {
-                item.is_new: rollouts.CallCounts(
+                item.is_new: rollout_counts.CallCounts(
                     item.sent,
                     item.answers,
                     item.failures,
@@ -466,7 +468,7 @@
 
 
 def _encode_durations(
-    count: rollouts.CallCounts,
+    count: rollout_counts.CallCounts,
 ) -> list[ttypes.RouteDurations]:
     """Converts the durations by route."""
     return [
@@ -479,10 +481,10 @@
 
 def _decode_durations(
     item: ttypes.VersionCount,
-) -> dict[str, rollouts.LogDurations]:
+) -> dict[str, call_durations.LogDurations]:
     """Converts a peer's durations by route."""
     return {
-        entry.route: rollouts.LogDurations(
+        entry.route: call_durations.LogDurations(
             entry.timed, entry.log_total, entry.log_square_total
         )
         for entry in item.routes
--- a/libs/routing/src/dandelionlead/routing/routing_view.py
+++ b/libs/routing/src/dandelionlead/routing/routing_view.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from dandelionlead.routing import model
-from dandelionlead.routing import rollouts
+from dandelionlead.routing import rollout_registry
 from dandelionlead.routing import routes
 
 # Maximum number of departures that are kept. If there are more, the departure
@@ -84,7 +84,7 @@
         self.endpoints: dict[str, model.Endpoint] = {}
         self.endpoints_version = -1
         self.closed_zones: dict[str, float] = {}
-        self.rollouts = rollouts.RolloutRegistry()
+        self.rollouts = rollout_registry.RolloutRegistry()
         self.last_confirmed_s = float("-inf")
         self.leaving_listeners: list[Callable[[str], None]] = []
         self.zone_closed_listeners: list[Callable[[str], None]] = []
--- a/libs/routing/tests/test_limits_fuzz.py
+++ b/libs/routing/tests/test_limits_fuzz.py
@@ -14,7 +14,8 @@
 
 from dandelionlead.core import hashing
 from dandelionlead.routing import model
-from dandelionlead.routing import rollouts
+from dandelionlead.routing import rollout_counts
+from dandelionlead.routing import rollout_registry
 from dandelionlead.routing import shared_limits
 
 _RATIO, _EXTRA, _WINDOW_S = 0.2, 50, 10.0
@@ -113,7 +114,7 @@
         self, count: int, seed: int, calls: list[tuple[int, int]]
     ) -> None:
         rng = random.Random(seed)
-        registries = [rollouts.RolloutRegistry() for _ in range(count)]
+        registries = [rollout_registry.RolloutRegistry() for _ in range(count)]
         for registry in registries:
             registry.start(model.RolloutOrder("s", "v2", 60.0), 7, 0.0)
         new_calls = 0
@@ -139,8 +140,8 @@
             self.assertLessEqual(new_calls, limit)
 
 
-def _copy(count: rollouts.CallCounts) -> rollouts.CallCounts:
-    return rollouts.CallCounts(
+def _copy(count: rollout_counts.CallCounts) -> rollout_counts.CallCounts:
+    return rollout_counts.CallCounts(
         count.sent_count, count.ended_count, count.failure_count, count.total_s
     )
 
--- a/libs/routing/tests/test_rollouts.py
+++ b/libs/routing/tests/test_rollouts.py
@@ -11,6 +11,7 @@
 import unittest
 
 from dandelionlead.routing import model
+from dandelionlead.routing import rollout_registry
 from dandelionlead.routing import rollouts
 
 _PROCESSES = 7
@@ -36,7 +37,7 @@
         self.duration_rng = random.Random(seed)
         order = model.RolloutOrder("s", "v2", _DURATION_S)
         self.registries = [
-            rollouts.RolloutRegistry() for _ in range(_PROCESSES)
+            rollout_registry.RolloutRegistry() for _ in range(_PROCESSES)
         ]
         for registry in self.registries:
             registry.start(order, 100, 0.0)
@@ -208,7 +209,7 @@
     """Calls are sent to the wrong version before or after a verdict."""
 
     def setUp(self) -> None:
-        self.registry = rollouts.RolloutRegistry()
+        self.registry = rollout_registry.RolloutRegistry()
         self.rng = random.Random(1)
         order = model.RolloutOrder("s", "v2", 10.0)
         self.registry.start(order, 100, 0.0)
