--- a/libs/gateway/src/dandelionlead/gateway/held_response.py
+++ b/libs/gateway/src/dandelionlead/gateway/held_response.py
@@ -4,6 +4,8 @@
 
 from dandelionlead.http import body_buffer
 from dandelionlead.http import intake
+from dandelionlead.http import intake_memory
+from dandelionlead.http import response_account
 from dandelionlead.routing import calls
 
 
@@ -24,7 +26,7 @@
         self.head: calls.EndpointResponseHead | None = None
         self.body: body_buffer.BodyBuffer | None = None
         self._memory = memory
-        self._account: intake.ResponseAccount | None = None
+        self._account: response_account.ResponseAccount | None = None
 
     def try_keep(
         self, head: calls.EndpointResponseHead, body: body_buffer.BodyBuffer
@@ -42,7 +44,7 @@
         account = self._memory.open_response(self.drop)
         try:
             account.hold(body.size)
-        except intake.IntakeFullError:
+        except intake_memory.IntakeFullError:
             account.close()
             return False
         self.head, self.body, self._account = head, body, account
--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -21,6 +21,7 @@
 from dandelionlead.core import errors
 from dandelionlead.http import body_buffer
 from dandelionlead.http import intake
+from dandelionlead.http import intake_memory
 from dandelionlead.http import link_activity
 
 _RECV_BYTES = 65_536
@@ -351,7 +352,7 @@
                     activity.record_part(size)
                 account.hold(size)
                 body.append(data)
-        except intake.IntakeFullError:
+        except intake_memory.IntakeFullError:
             return _endpoint_failed(_NO_ROOM)
         finally:
             account.close()
--- a/libs/http/src/dandelionlead/http/listener.py
+++ b/libs/http/src/dandelionlead/http/listener.py
@@ -10,6 +10,7 @@
 import eventlet.green.socket as green_socket
 
 from dandelionlead.core import clock
+from dandelionlead.http import caller_accounts
 from dandelionlead.http import client
 from dandelionlead.http import intake
 from dandelionlead.http import server
@@ -119,7 +120,9 @@
         eventlet.spawn_n(self._serve, sock, account)
 
     def _serve(
-        self, sock: green_socket.GreenSocket, account: intake.CallerAccount
+        self,
+        sock: green_socket.GreenSocket,
+        account: caller_accounts.CallerAccount,
     ) -> None:
         with contextlib.suppress(OSError):
             client.set_socket_options(sock)
--- a/libs/http/src/dandelionlead/http/request_reader.py
+++ b/libs/http/src/dandelionlead/http/request_reader.py
@@ -13,8 +13,8 @@
 
 from dandelionlead.core import clock
 from dandelionlead.http import body_buffer
+from dandelionlead.http import caller_accounts
 from dandelionlead.http import client
-from dandelionlead.http import intake
 from dandelionlead.http import limits
 from dandelionlead.http import turn_pacer
 
@@ -25,6 +25,8 @@
 # Events of a body that are taken from the parser in one turn. They bound the
 # time of a turn in which very many small chunks are parsed.
 _EVENTS_PER_TURN = 100
+# Memory of a header field beside its text.
+_FIELD_BYTES = 320
 
 
 class Request:
@@ -85,7 +87,7 @@
         self,
         sock: green_socket.GreenSocket,
         http: h11.Connection,
-        account: intake.CallerAccount,
+        account: caller_accounts.CallerAccount,
         pacer: turn_pacer.TurnPacer,
     ) -> None:
         self.is_idle = True
@@ -111,7 +113,7 @@
         Raises:
             TimeoutError: The head was not complete in time.
             OSError: The connection failed.
-            intake.IntakeFullError: There is no room for the request.
+            intake_memory.IntakeFullError: There is no room for the request.
             h11.RemoteProtocolError: The bytes are not a valid request.
         """
         self.is_idle = not self.has_unread_bytes
@@ -147,7 +149,7 @@
         Raises:
             TimeoutError: A part of the body was not complete in time.
             OSError: The connection failed.
-            intake.IntakeFullError: There is no room for the request.
+            intake_memory.IntakeFullError: There is no room for the request.
             h11.RemoteProtocolError: The bytes are not a valid request.
         """
         head_bytes = _estimate_head_bytes(request)
@@ -255,7 +257,7 @@
 def _estimate_head_bytes(request: Request) -> int:
     """Returns the memory that the head of a request takes, in bytes."""
     text_bytes = sum(len(name) + len(value) for name, value in request.headers)
-    return text_bytes + intake.FIELD_BYTES * len(request.headers)
+    return text_bytes + _FIELD_BYTES * len(request.headers)
 
 
 def _check_length(event: h11.Request, max_bytes: int) -> None:
--- a/libs/http/src/dandelionlead/http/server.py
+++ b/libs/http/src/dandelionlead/http/server.py
@@ -25,9 +25,10 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.http import body_buffer
+from dandelionlead.http import caller_accounts
 from dandelionlead.http import client
 from dandelionlead.http import disconnect_watcher
-from dandelionlead.http import intake
+from dandelionlead.http import intake_memory
 from dandelionlead.http import limits
 from dandelionlead.http import request_reader
 from dandelionlead.http import turn_pacer
@@ -240,7 +241,7 @@
         self,
         sock: green_socket.GreenSocket,
         handler: Handler,
-        account: intake.CallerAccount,
+        account: caller_accounts.CallerAccount,
         pacer: turn_pacer.TurnPacer,
     ) -> None:
         self._sock = sock
@@ -394,7 +395,7 @@
         except (
             h11.RemoteProtocolError,
             TimeoutError,
-            intake.IntakeFullError,
+            intake_memory.IntakeFullError,
         ) as exc:
             # What has arrived must not stay in memory with the exception.
             traceback.clear_frames(exc.__traceback__)
@@ -425,7 +426,7 @@
         """Receives one request; returns None if the caller closes first.
 
         Raises:
-            TimeoutError, OSError, intake.IntakeFullError,
+            TimeoutError, OSError, intake_memory.IntakeFullError,
                 h11.RemoteProtocolError: As for `RequestReader.read_body`.
         """
         request = self._reader.read_head(request_limits)
--- a/libs/http/tests/test_intake.py
+++ b/libs/http/tests/test_intake.py
@@ -14,7 +14,10 @@
 import eventlet
 import greenlet
 
+from dandelionlead.http import caller_accounts
 from dandelionlead.http import intake
+from dandelionlead.http import intake_memory
+from dandelionlead.http import response_account
 from dandelionlead.http import turn_pacer
 
 _MEGABYTE = 1_048_576
@@ -28,9 +31,11 @@
         self.intake = intake.Intake(memory_mb * _MEGABYTE, max_descriptors)
         self.evicted: list[str] = []
         self.now_s = 0.0
-        self._accounts: dict[str, intake.Account] = {}
+        self._accounts: dict[str, intake_memory.Account] = {}
 
-    def connect(self, name: str, host: str = "a") -> intake.Account | None:
+    def connect(
+        self, name: str, host: str = "a"
+    ) -> intake_memory.Account | None:
         """Opens a connection and reads it; it ends at once if it must go."""
         with mock.patch(_CLOCK, lambda: self.now_s):
             account = self.intake.open_account(host, lambda: self._end(name))
@@ -39,7 +44,7 @@
         self._accounts[name] = account
         return account
 
-    def open_response(self, name: str) -> intake.ResponseAccount:
+    def open_response(self, name: str) -> response_account.ResponseAccount:
         """Begins a response body; it ends at once if it must go."""
         with mock.patch(_CLOCK, lambda: self.now_s):
             account = self.intake.open_response(lambda: self._end(name))
@@ -50,12 +55,12 @@
         self.evicted.append(name)
         self._accounts[name].close()
 
-    def hold(self, account: intake.Account, megabytes: float) -> bool:
+    def hold(self, account: intake_memory.Account, megabytes: float) -> bool:
         """Lets a connection hold bytes; returns whether it may."""
         with mock.patch(_CLOCK, lambda: self.now_s):
             try:
                 account.hold(int(megabytes * _MEGABYTE))
-            except intake.IntakeFullError:
+            except intake_memory.IntakeFullError:
                 return False
         return True
 
@@ -119,7 +124,7 @@
         self.old.hold(12 * _MEGABYTE)
         self.new = self.open()
 
-    def open(self) -> intake.CallerAccount:
+    def open(self) -> caller_accounts.CallerAccount:
         account = self.intake.open_account("a", lambda: None)
         account.start_waiting()
         return account
@@ -135,7 +140,7 @@
         self.assertEqual(self.intake.leaving_bytes, 0)
 
     def test_request_is_refused_if_the_other_does_not_end(self) -> None:
-        with self.assertRaises(intake.IntakeFullError):
+        with self.assertRaises(intake_memory.IntakeFullError):
             self.new.hold(6 * _MEGABYTE)
         self.assertEqual(self.intake.take_counts().refused_requests, 1)
         self.new.close()
@@ -154,7 +159,7 @@
         holding = eventlet.spawn(self.new.hold, 6 * _MEGABYTE)
         eventlet.sleep(0.02)
         self.new.evict()
-        with self.assertRaises(intake.IntakeFullError):
+        with self.assertRaises(intake_memory.IntakeFullError):
             holding.wait()
 
 
@@ -200,10 +205,10 @@
             for _ in range(5):
                 size = rng.choice((0, 0.01, 1, 2, 7)) * _MEGABYTE
                 account.hold(int(size))
-                if size > intake.CONNECTION_BYTES:
+                if size > intake_memory.CONNECTION_BYTES:
                     self.assertTrue(peers.has_room())
                 eventlet.sleep(rng.random() * 0.005)
-        except intake.IntakeFullError:
+        except intake_memory.IntakeFullError:
             # Its greenlet ends some time after it had to go.
             eventlet.sleep(rng.random() * 0.01)
         finally:
@@ -261,7 +266,7 @@
 
     def _play(self, rng: random.Random) -> None:
         peers = _Callers(64)
-        accounts: list[intake.Account] = []
+        accounts: list[intake_memory.Account] = []
         for step in range(200):
             peers.now_s += rng.random()
             if len(accounts) < 3 or rng.random() < 0.2:
