--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -191,6 +191,8 @@
             self._deps.call_reporter.record_generation(self._call, outcome)
             fields["events"] = outcome.event_count
             fields["complete"] = outcome.is_complete
+            if outcome.ended_with_connection:
+                fields["end"] = "connection"
             fields["gap_ms"] = int(outcome.longest_gap_s * 1e3)
             fields["moves"] = outcome.resumption_count
             first_event_delay_s = max(
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -34,6 +34,8 @@
 
     Attributes:
         is_complete: Whether the caller received the stream up to its end.
+        ended_with_connection: Whether the last engine's stream had no other end
+            than that of its connection.
         failure: Why an engine's response last broke off; None if no response
             broke off.
         event_count: Number of events that were forwarded.
@@ -49,6 +51,7 @@
 
     __slots__ = (
         "is_complete",
+        "ended_with_connection",
         "failure",
         "event_count",
         "first_event_s",
@@ -59,6 +62,7 @@
 
     def __init__(self) -> None:
         self.is_complete = False
+        self.ended_with_connection = False
         self.failure: errors.Failure | None = None
         self.event_count = 0
         self.first_event_s = 0.0
@@ -253,6 +257,9 @@
             if isinstance(data, errors.Failure):
                 return data
             if data is client.BODY_END:
+                self.outcome.ended_with_connection = (
+                    current_response.head.ends_with_connection
+                )
                 failure = self._find_truncation(current_response)
                 if failure is None:
                     self._start_response(head)
