Believe the end of a body without a length only on its endpoint's own word

What callers saw: streams of crashed workers that ended as complete before their last event (ORDER), and parts of plain bodies with status 200 (MIXED).

Cause: a body without a length ends with its connection, and that of a killed process ends in order. Since whatever accepted a connection at the endpoint's address afterwards counted as proof that the endpoint lives. A forwarder, an inherited listening socket and a paused process accept too.

Change: `gateway.end_check` asks the endpoint itself after the end: an engine for its report, a plain worker for its health. The answer must be its own (id, start), and must not list the run any more. What closes, resets, stays silent, answers 421 or sends an error of a forwarder shows nothing, and the body counts as broken off. A report is some hundred milliseconds old: a run that is still listed is asked for again; one with more events than have arrived was cut. The wait of 50 ms is gone, since a dead process cannot answer.

Related paths: plain bodies and resumed streams use the same check. Not told apart: a worker that cuts a body off, drops the run and lives on.

--- a/libs/core/src/dandelionlead/core/decoding.py
+++ b/libs/core/src/dandelionlead/core/decoding.py
@@ -138,6 +138,15 @@
             for index, item in enumerate(items)
         ]
 
+    def get_lists(self, name: str) -> list[list[object]]:
+        """Returns the lists in a list; an empty list if it is missing."""
+        if not self.has(name):
+            return []
+        items = self._get_container(name, list)
+        if not all(isinstance(item, list) for item in items):
+            raise self._error(name, "must be a list of lists")
+        return items
+
     def get_texts(self, name: str) -> list[str]:
         """Returns the texts of a list; an empty list if it is missing."""
         if not self.has(name):
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -501,7 +501,7 @@
         broken = (
             body
             if isinstance(body, errors.Failure)
-            else deps.sender.find_broken_end(response)
+            else deps.sender.find_broken_end(response, admitted)
         )
         now_s = clock.boottime()
         self._record_begun_if_plain(run)
--- a/libs/gateway/src/dandelionlead/gateway/platform_codec.py
+++ b/libs/gateway/src/dandelionlead/gateway/platform_codec.py
@@ -144,6 +144,37 @@
     def encode_report_request(self, endpoint: model.Endpoint) -> ControlRequest:
         """Returns the request for an engine's report on itself."""
 
+    @abc.abstractmethod
+    def encode_status_request(
+        self, endpoint: model.Endpoint, service: model.Service
+    ) -> ControlRequest | None:
+        """Returns the request for what an endpoint states of itself.
+
+        Args:
+            endpoint: The endpoint.
+            service: Service of the endpoint.
+
+        Returns:
+            The request; None if the service has none.
+        """
+
+    @abc.abstractmethod
+    def decode_status(
+        self,
+        head: calls.EndpointResponseHead,
+        body: bytes,
+        endpoint: model.Endpoint,
+        request_id: str,
+    ) -> calls.EndpointStatus:
+        """Converts the response to a request for an endpoint's status.
+
+        Args:
+            head: Head of the response.
+            body: Body of the response.
+            endpoint: The endpoint that the request was sent to.
+            request_id: Id of the call whose run is looked for in the response.
+        """
+
     @abc.abstractmethod
     def decode_report(self, body: bytes) -> calls.EngineReport | None:
         """Converts an engine's report; returns None if it is not valid."""
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -304,7 +304,18 @@
                     "the run may have been stopped to migrate it:"
                     f" {stop_result.value}",
                 )
-        return self._sender.find_broken_end(ended_response)
+        return self._sender.find_broken_end(
+            ended_response, self._run.admitted, self._count_arrived_events()
+        )
+
+    def _count_arrived_events(self) -> int:
+        """Returns how many events of the generation have arrived.
+
+        Engines number the events of a generation, also of one that is resumed,
+        so that the last id is the number of all events.
+        """
+        checks = self._stream_checks
+        return max(checks.last_event_id, checks.event_count)
 
     def _start_response(self, head: calls.EndpointResponseHead) -> None:
         """Sends the response head to the caller unless it was sent already.
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
-import eventlet
+import functools
 
 from dandelionlead.core import clock
 from dandelionlead.core import errors
+from dandelionlead.core import events
 from dandelionlead.gateway import connection_pool
+from dandelionlead.gateway import end_check
 from dandelionlead.gateway import endpoint_notices
 from dandelionlead.gateway import platform_codec
 from dandelionlead.http import client
@@ -23,12 +25,6 @@
 # Limit on the response heads that are read on one connection to find the one
 # that belongs to the call; the others belong to earlier requests.
 _MAX_RESPONSE_HEADS = 3
-# Attempts to connect to an endpoint whose body has ended with its connection.
-# The network may lose the first one.
-_MAX_END_CHECKS = 2
-# Seconds from the end of the body to the first attempt. The kernel closes the
-# listening socket of a killed process after its connections.
-_END_CHECK_DELAY_S = 0.05
 
 
 class EndpointResponse:
@@ -72,6 +68,7 @@
         codec: Converts requests and responses of the platform.
         activity: Records when this process receives large bodies.
         notices: Handles what endpoints state about themselves.
+        log: Receives one line for each check of the end of a response.
 
     Attributes:
         activity: As passed to the constructor.
@@ -83,8 +80,10 @@
         codec: platform_codec.PlatformCodec,
         activity: link_activity.LinkActivity,
         notices: endpoint_notices.EndpointNotices,
+        log: events.Log,
     ) -> None:
         self.activity = activity
+        self._log = log
         self._notices = notices
         self._pool = pool
         self._codec = codec
@@ -169,34 +168,62 @@
         self._pool.release(response.endpoint, response.conn)
 
     def find_broken_end(
-        self, response: EndpointResponse
+        self,
+        response: EndpointResponse,
+        admitted: calls.AdmittedCall,
+        event_count: int | None = None,
     ) -> errors.Failure | None:
         """Returns why a body that has ended may be incomplete, or None.
 
-        A body without a length ends with its connection, and so it does if its
-        endpoint crashes. An endpoint that accepts another connection after that
-        has not crashed, even if it has too many and closes it.
-
         Args:
             response: The response; its body has been read to the end.
+            admitted: The call.
+            event_count: Number of events that have arrived, for a stream; None
+                for any other body.
         """
         if not response.head.ends_with_connection:
             return None
-        eventlet.sleep(_END_CHECK_DELAY_S)
-        for _ in range(_MAX_END_CHECKS):
-            conn = self._pool.acquire(
-                response.endpoint,
-                connection_pool.CONNECT_TIMEOUT_S,
-                must_be_new=True,
+        endpoint = response.endpoint
+        request = self._codec.encode_status_request(endpoint, admitted.service)
+        if request is None:
+            return errors.Failure(
+                errors.Kind.ENDPOINT_FAILED,
+                "the body ended with its connection, and its endpoint cannot be"
+                " asked whether it is complete",
             )
-            if not isinstance(conn, errors.Failure):
-                self._pool.put_back(response.endpoint, conn)
-                return None
-        return errors.Failure(
-            errors.Kind.ENDPOINT_FAILED,
-            f"the body ended with its connection, and then: {conn.reason}",
+        request_id = admitted.call.request_id
+        return end_check.find_broken_end(
+            end_check.EndedResponse(
+                request_id,
+                event_count,
+                has_end_mark=not response.head.ends_with_connection,
+            ),
+            functools.partial(
+                self._request_status, endpoint, request, request_id
+            ),
+            self._log,
+            endpoint.endpoint_id,
         )
 
+    def _request_status(
+        self,
+        endpoint: model.Endpoint,
+        request: platform_codec.ControlRequest,
+        request_id: str,
+        is_new: bool,
+    ) -> calls.EndpointStatus | errors.Failure:
+        """Requests what an endpoint states of itself and of one run."""
+        result = self._exchange_control(
+            endpoint,
+            request,
+            end_check.ANSWER_TIMEOUT_S,
+            end_check.ANSWER_TIMEOUT_S if is_new else None,
+        )
+        if isinstance(result, errors.Failure):
+            return result
+        head, body = result
+        return self._codec.decode_status(head, body, endpoint, request_id)
+
     def send_control_request(
         self,
         endpoint: model.Endpoint,
@@ -218,6 +245,22 @@
         Returns:
             HTTP status and body, or a failure.
         """
+        result = self._exchange_control(
+            endpoint, request, timeout_s, new_connection_timeout_s
+        )
+        if isinstance(result, errors.Failure):
+            return result
+        head, body = result
+        return head.status, body
+
+    def _exchange_control(
+        self,
+        endpoint: model.Endpoint,
+        request: platform_codec.ControlRequest,
+        timeout_s: float,
+        new_connection_timeout_s: float | None,
+    ) -> tuple[calls.EndpointResponseHead, bytes] | errors.Failure:
+        """Sends a control request and reads head and body of the response."""
         is_new = new_connection_timeout_s is not None
         conn = self._pool.acquire(
             endpoint,
@@ -247,7 +290,7 @@
             is_reusable = not (
                 head.ends_with_connection or head.closes_connection
             )
-            return head.status, body
+            return head, body
         finally:
             if is_reusable:
                 self._pool.release(endpoint, conn)
--- /dev/null
+++ b/libs/gateway/tests/test_end_check.py
@@ -0,0 +1,105 @@
+"""Tests which evidence about its endpoint makes the end of a body count.
+
+Guards against streams that were cut off by a crash and look complete (ORDER),
+and against sound ones that are cut because their endpoint is silent.
+"""
+
+from __future__ import annotations
+
+import unittest
+
+import eventlet
+import virtual_time
+
+from dandelionlead.core import errors
+from dandelionlead.core import events
+from dandelionlead.gateway import end_check
+from dandelionlead.routing import calls
+
+virtual_time.install()
+
+_ENDED = calls.EndpointStatus(calls.StatusOrigin.ENDPOINT)
+_OTHER = calls.EndpointStatus(calls.StatusOrigin.OTHER)
+_FOREIGN = calls.EndpointStatus(calls.StatusOrigin.UNKNOWN)
+_CLOSED = errors.Failure(errors.Kind.ENDPOINT_FAILED, "closed")
+_SILENT = errors.Failure(errors.Kind.ENDPOINT_SILENT, "silent")
+
+
+def _list_run(event_count: int) -> calls.EndpointStatus:
+    return calls.EndpointStatus(calls.StatusOrigin.ENDPOINT, event_count)
+
+
+class EvidenceTest(unittest.TestCase):
+    """Bodies of ten events; the last answer of each case is repeated."""
+
+    # Answers, whether a body without and with an end mark is complete, and the
+    # number of requests.
+    CASES = (
+        ((_ENDED,), True, True, 1),
+        ((_CLOSED, _ENDED), True, True, 2),
+        ((_SILENT, _ENDED), True, True, 2),
+        ((_list_run(10), _ENDED), True, True, 2),
+        ((_list_run(4), _list_run(11)), False, False, 2),
+        ((_OTHER,), False, False, 1),
+        ((_CLOSED, _OTHER), False, False, 2),
+        ((_CLOSED,), False, False, 3),
+        ((_FOREIGN,), False, False, 3),
+        ((_SILENT,), False, True, 3),
+        ((_CLOSED, _SILENT), False, True, 3),
+    )
+
+    def _check(
+        self, answers: tuple[object, ...], *, has_end_mark: bool
+    ) -> tuple[bool, list[bool]]:
+        """Returns whether a body is complete, and which requests were new."""
+        are_new: list[bool] = []
+
+        def request_status(is_new: bool) -> object:
+            answer = answers[min(len(are_new), len(answers) - 1)]
+            are_new.append(is_new)
+            if answer is _SILENT:
+                eventlet.sleep(end_check.ANSWER_TIMEOUT_S)
+            return answer
+
+        failure = end_check.find_broken_end(
+            end_check.EndedResponse("r", 10, has_end_mark=has_end_mark),
+            request_status,
+            events.Log("test"),
+            "e",
+        )
+        return failure is None, are_new
+
+    def test_end_counts_by_the_word_of_its_endpoint(self) -> None:
+        for answers, unmarked, marked, request_count in self.CASES:
+            for has_end_mark in (False, True):
+                with self.subTest(answers=answers, mark=has_end_mark):
+                    is_complete, are_new = self._check(
+                        answers, has_end_mark=has_end_mark
+                    )
+                    self.assertEqual(
+                        is_complete, marked if has_end_mark else unmarked
+                    )
+                    self.assertEqual(len(are_new), request_count)
+
+    def test_connection_is_new_after_a_pooled_one_failed(self) -> None:
+        for answers, are_new in (
+            ((_CLOSED,), [False, True, True]),
+            (
+                (_list_run(1), _list_run(2), _CLOSED, _ENDED),
+                [False] * 3 + [True],
+            ),
+        ):
+            with self.subTest(answers):
+                self.assertEqual(
+                    self._check(answers, has_end_mark=False)[1], are_new
+                )
+
+    def test_run_that_stays_listed_ends_with_the_time_of_the_check(
+        self,
+    ) -> None:
+        self.assertFalse(self._check((_list_run(1),), has_end_mark=False)[0])
+        self.assertTrue(self._check((_list_run(1),), has_end_mark=True)[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -107,7 +107,7 @@
             return 503, b""
         return 200, b"copied"
 
-    def find_broken_end(self, response):
+    def find_broken_end(self, response, *_):
         ends_with_connection = response.head.ends_with_connection
         if not ends_with_connection or not self.has_crashed:
             return None
--- a/libs/routing/src/dandelionlead/routing/calls.py
+++ b/libs/routing/src/dandelionlead/routing/calls.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from dandelionlead.http import client
 from dandelionlead.routing import model
 
@@ -198,6 +200,8 @@
         is_leaving: Whether the endpoint states that it is leaving.
         pause_s: Seconds for which the endpoint wants no more requests from this
             process; 0 if it does not state this.
+        endpoint_id: Id of the endpoint that sent the response; empty if the
+            response does not name it.
     """
 
     __slots__ = (
@@ -213,6 +217,7 @@
         "max_requests_per_s",
         "is_leaving",
         "pause_s",
+        "endpoint_id",
         "headers",
     )
 
@@ -232,6 +237,7 @@
         max_requests_per_s: float | None = None,
         is_leaving: bool = False,
         pause_s: float = 0.0,
+        endpoint_id: str = "",
     ) -> None:
         self.status = status
         self.headers = headers
@@ -246,6 +252,36 @@
         self.max_requests_per_s = max_requests_per_s
         self.is_leaving = is_leaving
         self.pause_s = pause_s
+        self.endpoint_id = endpoint_id
+
+
+class StatusOrigin(enum.Enum):
+    """Who answered a request for the status of an endpoint."""
+
+    # The endpoint, since the start that its entry names.
+    ENDPOINT = "endpoint"
+    # Another endpoint, or a later start of this one.
+    OTHER = "other"
+    # Nothing shows that the endpoint itself answered.
+    UNKNOWN = "unknown"
+
+
+class EndpointStatus:
+    """What the response to a request for an endpoint's status shows.
+
+    Attributes:
+        origin: Who answered.
+        event_count: Number of events that the run asked about has made; None if
+            the endpoint does not list the run.
+    """
+
+    __slots__ = ("origin", "event_count")
+
+    def __init__(
+        self, origin: StatusOrigin, event_count: int | None = None
+    ) -> None:
+        self.origin = origin
+        self.event_count = event_count
 
 
 class MemoryCopy:
--- a/libs/routing/src/dandelionlead/routing/model.py
+++ b/libs/routing/src/dandelionlead/routing/model.py
@@ -149,9 +149,17 @@
         cold_requests_per_s: Requests per second that a cold endpoint can handle
             from all processes together; 0 means no limit.
         engine: Capacity of the model engines; None for a plain service.
+        health_path: Path at which an endpoint states whether it is healthy;
+            empty if none is configured.
     """
 
-    __slots__ = ("name", "max_connections", "cold_requests_per_s", "engine")
+    __slots__ = (
+        "name",
+        "max_connections",
+        "cold_requests_per_s",
+        "engine",
+        "health_path",
+    )
 
     def __init__(
         self,
@@ -159,11 +167,13 @@
         max_connections: int,
         cold_requests_per_s: float,
         engine: EngineSpec | None,
+        health_path: str = "",
     ) -> None:
         self.name = name
         self.max_connections = max_connections
         self.cold_requests_per_s = cold_requests_per_s
         self.engine = engine
+        self.health_path = health_path
 
 
 class Team:
