Doubt the last chunk of a stream whose engine is gone

Cause: the same as for bodies without a length: the end of a response was taken from its connection alone, without evidence of what became of its engine. A process that ends its streams in order as it dies writes the last chunk too.

The last chunk is the engine's word: it counts unless something shows that the engine is gone, started anew, or goes on with the run; silence does not. A leaving engine may end with its last stream and is not asked. Streams whose connection stays open cost nothing but the 20 ms at their end; no plain body is asked about.

A row of test_migrations.CrashedEngineTest said that a marked end of a crashed engine is complete. It is replaced by its opposite, with rows for a backup and for a sound engine; the fake decides by engine, as the product does.

--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -291,12 +291,13 @@
         was requested, such a body is complete only if the engine states that it
         did not stop the run.
         """
+        ends_with_connection = ended_response.head.ends_with_connection
         failure = self._stream_checks.find_truncation(
-            ends_with_connection=ended_response.head.ends_with_connection
+            ends_with_connection=ends_with_connection
         )
-        if failure is not None or not ended_response.head.ends_with_connection:
+        if failure is not None:
             return failure
-        if self._run.stop_event is not None:
+        if ends_with_connection and self._run.stop_event is not None:
             stop_result = self._resumption.await_stop()
             if stop_result is not runs.StopResult.NOT_STOPPED:
                 return errors.Failure(
@@ -305,7 +306,10 @@
                     f" {stop_result.value}",
                 )
         return self._sender.find_broken_end(
-            ended_response, self._run.admitted, self._count_arrived_events()
+            ended_response,
+            self._run.admitted,
+            self._count_arrived_events(),
+            is_leaving=self._scheduler.is_leaving(ended_response.endpoint),
         )
 
     def _count_arrived_events(self) -> int:
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -8,6 +8,8 @@
 
 import functools
 
+import eventlet
+
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
@@ -25,6 +27,9 @@
 # Limit on the response heads that are read on one connection to find the one
 # that belongs to the call; the others belong to earlier requests.
 _MAX_RESPONSE_HEADS = 3
+# Time after the end of a stream in which a process that ends closes its
+# connection.
+_CLOSE_DELAY_S = 0.02
 
 
 class EndpointResponse:
@@ -172,31 +177,45 @@
         response: EndpointResponse,
         admitted: calls.AdmittedCall,
         event_count: int | None = None,
+        *,
+        is_leaving: bool = False,
     ) -> errors.Failure | None:
         """Returns why a body that has ended may be incomplete, or None.
 
+        A length or a last chunk is the endpoint's own word. The last chunk of a
+        stream is doubted if its connection ends with it, as it does if the HTTP
+        server of a process that crashes, or a forwarder, ends the stream.
+
         Args:
             response: The response; its body has been read to the end.
             admitted: The call.
             event_count: Number of events that have arrived, for a stream; None
                 for any other body.
+            is_leaving: Whether the endpoint is known to be leaving: it may end
+                with its last stream.
         """
-        if not response.head.ends_with_connection:
+        has_end_mark = not response.head.ends_with_connection
+        if has_end_mark and (
+            event_count is None
+            or is_leaving
+            or response.head.is_leaving
+            or not _has_closed(response)
+        ):
             return None
         endpoint = response.endpoint
         request = self._codec.encode_status_request(endpoint, admitted.service)
         if request is None:
             return errors.Failure(
                 errors.Kind.ENDPOINT_FAILED,
-                "the body ended with its connection, and its endpoint cannot be"
-                " asked whether it is complete",
+                "the connection ended with the body, and its endpoint cannot be"
+                " asked whether the body is complete",
             )
         request_id = admitted.call.request_id
         return end_check.find_broken_end(
             end_check.EndedResponse(
                 request_id,
                 event_count,
-                has_end_mark=not response.head.ends_with_connection,
+                has_end_mark=has_end_mark,
             ),
             functools.partial(
                 self._request_status, endpoint, request, request_id
@@ -388,3 +407,11 @@
                 " not state that it did not run the call",
             )
         return EndpointResponse(endpoint, conn, response_head)
+
+
+def _has_closed(response: EndpointResponse) -> bool:
+    """Returns whether the connection ends with the body of its response."""
+    if response.head.closes_connection:
+        return True
+    eventlet.sleep(_CLOSE_DELAY_S)
+    return not response.conn.is_open_without_unread_data()
--- a/libs/gateway/tests/engine_fakes.py
+++ b/libs/gateway/tests/engine_fakes.py
@@ -224,7 +224,7 @@
                 )
 
     def find_broken_end(
-        self, response: sending.EndpointResponse, *_: object
+        self, response: sending.EndpointResponse, *_: object, **__: object
     ) -> errors.Failure | None:
         """Returns a failure if the engine has ended and named no length."""
         engine = self._engines[response.endpoint.endpoint_id]
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -79,7 +79,7 @@
         self.activity = link_activity.LinkActivity()
         self.call_count = 0
         # Whether engines accept no connection once their bodies have ended.
-        self.has_crashed = False
+        self.crashed_id = ""
         # Seconds until the response to a call, its status and its connection.
         self.resumed = (0.0, 503, _FakeConn())
         # Seconds until the response to a request for a final copy, and this
@@ -107,9 +107,8 @@
             return 503, b""
         return 200, b"copied"
 
-    def find_broken_end(self, response, *_):
-        ends_with_connection = response.head.ends_with_connection
-        if not ends_with_connection or not self.has_crashed:
+    def find_broken_end(self, response, *_, **__):
+        if response.endpoint.endpoint_id != self.crashed_id:
             return None
         return errors.Failure(errors.Kind.ENDPOINT_FAILED, "refused")
 
@@ -897,14 +896,16 @@
         # complete, and its events.
         cases = (
             (False, True, False, True, self.EVENT),
-            (True, False, False, True, self.EVENT),
+            (False, False, False, True, self.EVENT),
+            (True, False, False, False, self.EVENT),
+            (True, False, True, True, self.EVENT + self.REST),
             (True, True, False, False, self.EVENT),
             (True, True, True, True, self.EVENT + self.REST),
         )
         for crashed, ends, has_backup, is_complete, body in cases:
             with self.subTest(crashed=crashed, ends=ends, backup=has_backup):
                 self.setUp()
-                self.sender.has_crashed = crashed
+                self.sender.crashed_id = "e0" if crashed else ""
                 self.sender.resumed = (0.0, 200, _FakeConn(self.REST))
                 run = self.start_run("e0")
                 run.admitted.deadline_s = clock.boottime() + 5.0
