Break off a stream whose events repeat, go back or leave one out

No record shows it; the users read it in the code.

Cause: StreamChecks compared ids only at the first event after a resumption.

Change: inside one engine's stream the ids must rise, and by one if the first two do. What arrives out of order is not forwarded; the run is stopped and goes on elsewhere, or the caller's stream stays cut.

--- a/libs/gateway/src/dandelionlead/gateway/stream_checks.py
+++ b/libs/gateway/src/dandelionlead/gateway/stream_checks.py
@@ -30,6 +30,8 @@
         "_max_output_tokens",
         "_received_event_count",
         "_is_first_after_resumption",
+        "_engine_last_id",
+        "_is_consecutive",
     )
 
     def __init__(self, last_event_id: int, max_output_tokens: int) -> None:
@@ -37,6 +39,10 @@
         self._max_output_tokens = max_output_tokens
         self._received_event_count = 0
         self._is_first_after_resumption = False
+        # Last id in the present engine's stream, None before the first, and
+        # whether its ids rise by one, None before the second.
+        self._engine_last_id: int | None = None
+        self._is_consecutive: bool | None = None
 
     @property
     def last_event_id(self) -> int:
@@ -67,7 +73,9 @@
         complete_events = splitter.feed(data)
         failure = self._find_excess(complete_events)
         if failure is None:
-            failure = self._find_wrong_order(complete_events, previous_id)
+            failure = self._find_wrong_resumption(complete_events, previous_id)
+        if failure is None:
+            failure = self._find_wrong_order(splitter.new_event_ids)
         if failure is None:
             return complete_events
         splitter.rewind(previous_id, previous_count)
@@ -101,6 +109,7 @@
         there was one.
         """
         self._is_first_after_resumption = self._splitter.event_count > 0
+        self._engine_last_id = self._is_consecutive = None
 
     def _find_excess(self, complete_events: bytes) -> errors.Failure | None:
         """Returns why the bytes that arrived are no stream of events, or None.
@@ -118,7 +127,33 @@
             )
         return None
 
-    def _find_wrong_order(
+    def _find_wrong_order(self, event_ids: list[int]) -> errors.Failure | None:
+        """Returns why events do not follow the ones before them, or None.
+
+        The ids of a stream rise. If its first two are consecutive, a later one
+        that is not shows that an event is missing.
+
+        Args:
+            event_ids: Ids of the events that arrived; may be empty.
+        """
+        for event_id in event_ids:
+            last_id, self._engine_last_id = self._engine_last_id, event_id
+            if last_id is None:
+                continue
+            step = event_id - last_id
+            if step < 1:
+                return _make_failure(
+                    f"event {event_id} arrived after event {last_id}"
+                )
+            if self._is_consecutive is None:
+                self._is_consecutive = step == 1
+            elif self._is_consecutive and step > 1:
+                return _make_failure(
+                    f"events are missing between {last_id} and {event_id}"
+                )
+        return None
+
+    def _find_wrong_resumption(
         self, complete_events: bytes, previous_id: int
     ) -> errors.Failure | None:
         """Returns why events do not continue a resumed stream, or None.
--- a/libs/http/src/dandelionlead/http/sse.py
+++ b/libs/http/src/dandelionlead/http/sse.py
@@ -20,13 +20,15 @@
         last_event_id: Id of the last complete event that has an id; initially
             the argument of the constructor.
         event_count: Number of events with an id that `feed` has returned.
+        new_event_ids: Ids of the events that the last call of `feed` returned.
     """
 
-    __slots__ = ("last_event_id", "event_count", "_incomplete")
+    __slots__ = ("last_event_id", "event_count", "new_event_ids", "_incomplete")
 
     def __init__(self, last_event_id: int = 0) -> None:
         self.last_event_id = last_event_id
         self.event_count = 0
+        self.new_event_ids: list[int] = []
         self._incomplete = b""
 
     @property
@@ -43,6 +45,7 @@
         Returns:
             The bytes of all events that are now complete; may be empty.
         """
+        self.new_event_ids = []
         if self._incomplete:
             data = self._incomplete + data
         end = data.rfind(EVENT_END) + len(EVENT_END)
@@ -51,9 +54,10 @@
             return b""
         self._incomplete = data[end:]
         complete_events = data[:end]
-        ids = _ID_LINE.findall(complete_events)
+        ids = [int(text) for text in _ID_LINE.findall(complete_events)]
         if ids:
-            self.last_event_id = int(ids[-1])
+            self.new_event_ids = ids
+            self.last_event_id = ids[-1]
             self.event_count += len(ids)
         return complete_events
 
