Pass calls on to a peer that reaches the service

Callers of a process that had lost its paths to all endpoints of a service got 503 for as long as they kept its address. Such a process now sends the call to a peer, over HTTP on the second internal port; the peer serves it like a call of its own, and the first process forwards the response.

Nothing states yet that a process is cut off, so that no call is passed on: the tests state it themselves.

--- a/libs/gateway/src/dandelionlead/gateway/call_progress.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_progress.py
@@ -45,6 +45,8 @@
         "_response_writer",
         "_endpoint_in_attempt",
         "_possible_run_endpoints",
+        "_is_at_peer",
+        "_possible_peer_runs",
         "_has_begun",
         "_has_ended",
         "_on_begun",
@@ -71,6 +73,9 @@
         self._endpoint_in_attempt: model.Endpoint | None = None
         # Endpoints that ran the call or may have run it, by incarnation.
         self._possible_run_endpoints: dict[str, model.Endpoint] = {}
+        self._is_at_peer = False
+        # Number of peers that were sent the call and may have run it.
+        self._possible_peer_runs = 0
         self._has_begun = False
         self._has_ended = False
         self._on_begun = on_begun
@@ -82,7 +87,11 @@
             return Phase.ENDED
         if self._response_writer.has_started:
             return Phase.RESPONDING
-        if self._endpoint_in_attempt or self._possible_run_endpoints:
+        if (
+            self._endpoint_in_attempt
+            or self._is_at_peer
+            or self.possible_run_count
+        ):
             return Phase.SENT
         return Phase.WAITING
 
@@ -93,8 +102,19 @@
 
     @property
     def possible_run_count(self) -> int:
-        """Number of endpoints that ran the call in an ended attempt, or may."""
-        return len(self._possible_run_endpoints)
+        """Number of ended attempts that ran the call, or may have run it.
+
+        A peer that may have run the call counts like one endpoint.
+        """
+        return len(self._possible_run_endpoints) + self._possible_peer_runs
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether the call may be sent once more after its ended attempts."""
+        route = self.admitted.route
+        return not self.possible_run_count or (
+            route.is_repeatable and self.possible_run_count < route.max_attempts
+        )
 
     def record_begun(self, began_s: float) -> None:
         """Records that an endpoint has begun to run the call.
@@ -126,6 +146,20 @@
         if run_state is not errors.RunState.NOT_RUN:
             self.record_possible_run(endpoint)
 
+    def begin_relay(self) -> None:
+        """Records that the call is about to be sent to a peer."""
+        self._is_at_peer = True
+
+    def end_relay(self, run_state: errors.RunState) -> None:
+        """Records the end of an attempt at a peer.
+
+        Args:
+            run_state: Whether an endpoint ran the call for the peer.
+        """
+        self._is_at_peer = False
+        if run_state is not errors.RunState.NOT_RUN:
+            self._possible_peer_runs += 1
+
     def record_possible_run(self, endpoint: model.Endpoint) -> None:
         """Records that an endpoint runs the call or may have run it."""
         self._possible_run_endpoints[endpoint.incarnation] = endpoint
--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import typing
 from collections.abc import Callable
 from collections.abc import Collection
 
@@ -9,7 +10,6 @@
 from dandelionlead.core import errors
 from dandelionlead.http import client
 from dandelionlead.http import intake
-from dandelionlead.routing import model
 
 # A connection can permanently stop delivering data without being closed.
 # Connections older than this are closed instead of being reused.
@@ -31,6 +31,18 @@
 CONNECT_TIMEOUT_S = 0.5
 
 
+class Destination(typing.Protocol):
+    """Endpoint or peer that connections lead to.
+
+    Attributes:
+        endpoint_id: Id of one start of the endpoint or peer.
+        address: IP address and port.
+    """
+
+    endpoint_id: str
+    address: tuple[str, int]
+
+
 class ConnectionPool:
     """Pool of idle connections, by endpoint id.
 
@@ -47,7 +59,7 @@
 
     def __init__(
         self,
-        get_share: Callable[[model.Endpoint], int],
+        get_share: Callable[[Destination], int],
         memory: intake.Intake | None = None,
     ) -> None:
         self._get_share = get_share
@@ -57,7 +69,7 @@
 
     def acquire(
         self,
-        endpoint: model.Endpoint,
+        endpoint: Destination,
         timeout_s: float,
         *,
         must_send_once: bool = False,
@@ -96,7 +108,7 @@
         )
 
     def release(
-        self, endpoint: model.Endpoint, conn: client.ClientConnection
+        self, endpoint: Destination, conn: client.ClientConnection
     ) -> None:
         """Returns a connection to the pool after an exchange.
 
@@ -113,7 +125,7 @@
             conn.close()
 
     def put_back(
-        self, endpoint: model.Endpoint, conn: client.ClientConnection
+        self, endpoint: Destination, conn: client.ClientConnection
     ) -> None:
         """Adds a connection that is ready for a request.
 
@@ -132,7 +144,7 @@
             return
         idle_conns.append(conn)
 
-    def lower_idle_limit(self, endpoint: model.Endpoint, idle_s: float) -> None:
+    def lower_idle_limit(self, endpoint: Destination, idle_s: float) -> None:
         """Lowers an endpoint's idle limit after it dropped a connection.
 
         Args:
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -14,6 +14,7 @@
 from dandelionlead.core import events
 from dandelionlead.gateway import attempt_limit
 from dandelionlead.gateway import call_progress
+from dandelionlead.gateway import call_relay
 from dandelionlead.gateway import call_reporting
 from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import endpoint_finder
@@ -38,6 +39,16 @@
 # request has ended and freed capacity.
 _RETRY_AFTER_PLAIN_S = 0.1
 _RETRY_AFTER_STREAM_S = 1.5
+# Failures of attempts after which a peer may get the call, if this process has
+# lost its paths to the service meanwhile.
+_RELAYED_FAILURES = frozenset(
+    {
+        errors.Kind.ENDPOINT_UNREACHABLE,
+        errors.Kind.ENDPOINT_FAILED,
+        errors.Kind.ENDPOINT_SILENT,
+        errors.Kind.NO_ENDPOINT,
+    }
+)
 
 
 class Dependencies:
@@ -57,6 +68,7 @@
         endpoint_finder: Chooses endpoints for calls; queues generations until
             an engine has room.
         memory: Counts the bodies that calls hold.
+        call_relay: Passes calls on to peers; None if this process never does.
     """
 
     __slots__ = (
@@ -70,6 +82,7 @@
         "crash_detector",
         "endpoint_finder",
         "memory",
+        "call_relay",
     )
 
     def __init__(
@@ -82,6 +95,7 @@
         call_reporter: call_reporting.CallReporter,
         serving_state: serving.ServingState,
         memory: intake.Intake | None = None,
+        passes_on: call_relay.CallRelay | None = None,
     ) -> None:
         self.scheduler = scheduler
         self.sender = sender
@@ -97,6 +111,7 @@
             scheduler, serving_state
         )
         self.memory = memory or intake.Intake()
+        self.call_relay = passes_on
 
 
 class Exchange:
@@ -106,6 +121,7 @@
         deps: Components that all calls share.
         admitted: The call with its route, team and service.
         response_writer: Writes the response to the caller.
+        origin: Which peer has passed the call on; None for a caller's call.
 
     Attributes:
         progress: Which endpoints may have run the call, and what the caller
@@ -117,6 +133,7 @@
         deps: Dependencies,
         admitted: calls.AdmittedCall,
         response_writer: server.ResponseWriter,
+        origin: calls.RelayOrigin | None = None,
     ) -> None:
         self.progress = call_progress.CallProgress(
             admitted, response_writer, deps.call_reporter.note_begun
@@ -128,6 +145,8 @@
         self._failure: errors.Failure | None = None
         self._status = 0
         self._outcome: relay.Outcome | None = None
+        self._origin = origin
+        self._relayed_call: call_relay.RelayedCall | None = None
         # Remains false if `_try_endpoints` raises because the caller
         # disconnected or an internal error occurred.
         self._is_finished = False
@@ -186,6 +205,11 @@
         fields: dict[str, object] = {}
         if not self._is_finished:
             fields["caller"] = "gone"
+        if self._origin is not None:
+            fields["from"] = self._origin.node
+        if self._relayed_call is not None:
+            fields["via"] = self._relayed_call.node
+            self._status = self._relayed_call.status or self._status
         outcome = self._outcome
         if outcome is not None:
             self._deps.call_reporter.record_generation(self._call, outcome)
@@ -213,7 +237,14 @@
         )
 
     def _try_endpoints(self) -> bool:
-        """Tries endpoints in turn; returns whether a response was completed."""
+        """Tries endpoints in turn; returns whether a response was completed.
+
+        A process that is cut off from the service passes the call on instead.
+        """
+        if self._is_out_of_reach():
+            return False
+        if self._should_relay():
+            return self._relay_to_peer()
         scheduler = self._deps.scheduler
         scheduler.count_request(self._admitted, clock.boottime())
         for _ in range(_MAX_ATTEMPTS):
@@ -221,10 +252,65 @@
                 return False
             if self._try_next_endpoint():
                 return True
+            if self._may_relay_after_failure() and self._should_relay():
+                return self._relay_to_peer()
             if not self._may_try_again():
                 return False
         return False
 
+    def _is_out_of_reach(self) -> bool:
+        """Records the failure and returns True if a peer's call must go back.
+
+        A call is passed on once: the peer that sent it looks for another one.
+        """
+        passes_on = self._deps.call_relay
+        service_name = self._admitted.service.name
+        if (
+            self._origin is None
+            or passes_on is None
+            or not passes_on.is_cut_off(service_name)
+        ):
+            return False
+        self._failure = errors.Failure(
+            errors.Kind.ENDPOINT_UNREACHABLE,
+            f"this process does not reach the service {service_name} either",
+        )
+        return True
+
+    def _should_relay(self) -> bool:
+        """Returns whether the call is passed on to a peer."""
+        passes_on = self._deps.call_relay
+        return (
+            self._origin is None
+            and passes_on is not None
+            and passes_on.should_relay(self._admitted.service.name)
+        )
+
+    def _may_relay_after_failure(self) -> bool:
+        """Returns whether a peer may run the call after a failed attempt."""
+        failure = self._failure
+        return (
+            failure is not None
+            and failure.kind in _RELAYED_FAILURES
+            and not self._response_writer.has_started
+            and self.progress.may_run_again
+            and clock.boottime() < self._admitted.deadline_s
+        )
+
+    def _relay_to_peer(self) -> bool:
+        """Passes the call on; returns whether a response was completed."""
+        self._relayed_call = call_relay.RelayedCall(
+            self._deps.call_relay,
+            self._admitted,
+            self._response_writer,
+            self.progress,
+            self._retry_after_s(),
+        )
+        if self._relayed_call.forward():
+            return True
+        self._failure = self._relayed_call.failure
+        return False
+
     def _is_quarantined(self) -> bool:
         """Records the failure and returns True if the call must not be sent."""
         failure = self._crashes.find_failure()
@@ -566,11 +652,7 @@
             return False
         if failure.run_state is errors.RunState.NOT_RUN:
             return True
-        route = self._admitted.route
-        return (
-            route.is_repeatable
-            and self.progress.possible_run_count < route.max_attempts
-        )
+        return self.progress.may_run_again
 
     def _make_interruption_failure(self) -> errors.Failure:
         """Returns the failure for a call without a response at the stop."""
--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -22,6 +22,7 @@
 from dandelionlead.http import request_reader
 from dandelionlead.http import server
 from dandelionlead.routing import calls
+from dandelionlead.routing import model
 from dandelionlead.routing import routes
 
 
@@ -35,6 +36,8 @@
         serving_state: serving.ServingState,
         calls_in_progress: open_calls.OpenCalls,
         rng: random.Random,
+        *,
+        serves_peers: bool = False,
     ) -> None:
         """Creates the handler.
 
@@ -44,6 +47,7 @@
             serving_state: Decides whether this process accepts calls.
             calls_in_progress: Holds each call while it is served.
             rng: Random numbers for the choice of services by weight.
+            serves_peers: Whether the requests are calls that peers pass on.
         """
         self._codec = codec
         self._deps = deps
@@ -53,6 +57,7 @@
         self._serving_state = serving_state
         self._open_calls = calls_in_progress
         self._rng = rng
+        self._serves_peers = serves_peers
 
     def get_request_limits(self) -> limits.RequestLimits:
         """Returns the limits on callers' requests that are in force.
@@ -88,15 +93,25 @@
             self._call_reporter.send_error_response(response_writer, call, "")
             return
         call.body = request.body
-        admitted = self._admit(call)
+        origin = (
+            self._codec.decode_relay_origin(request.headers)
+            if self._serves_peers
+            else None
+        )
+        admitted = self._admit(call, origin)
         if isinstance(admitted, errors.Failure):
             self._call_reporter.send_error_response(
                 response_writer, admitted, call.request_id
             )
-            self._call_reporter.record_call(call, None, admitted, 0, "")
+            fields = {} if origin is None else {"from": origin.node}
+            self._call_reporter.record_call(
+                call, None, admitted, 0, "", **fields
+            )
             return
         response_writer.set_write_deadline(admitted.deadline_s + 0.5)
-        call_exchange = exchange.Exchange(self._deps, admitted, response_writer)
+        call_exchange = exchange.Exchange(
+            self._deps, admitted, response_writer, origin
+        )
         try:
             with self._open_calls.track(call_exchange.progress):
                 call_exchange.serve()
@@ -129,8 +144,15 @@
             response_writer, failure, call.request_id
         )
 
-    def _admit(self, call: calls.Call) -> calls.AdmittedCall | errors.Failure:
-        """Returns the call with its route, team and service, or a failure."""
+    def _admit(
+        self, call: calls.Call, origin: calls.RelayOrigin | None
+    ) -> calls.AdmittedCall | errors.Failure:
+        """Returns the call with its route, team and service, or a failure.
+
+        Args:
+            call: The call.
+            origin: Which peer has passed the call on; None for a caller's call.
+        """
         configuration = self._view.configuration
         now_s = clock.boottime()
         failure = self._serving_state.check_serving(now_s, self._view)
@@ -150,7 +172,7 @@
                     errors.Kind.UNAUTHORIZED,
                     "the API key belongs to no team",
                 )
-        service_name = routes.choose_service(route, self._rng)
+        service_name = self._choose_service(route, origin)
         service = configuration.services.get(service_name)
         if service is None:
             return errors.Failure(
@@ -162,3 +184,14 @@
         )
         stop_failure = self._serving_state.find_stop_failure(admitted)
         return admitted if stop_failure is None else stop_failure
+
+    def _choose_service(
+        self, route: model.Route, origin: calls.RelayOrigin | None
+    ) -> str:
+        """Returns the service of a call, as a peer has drawn it if it has."""
+        if origin is not None and any(
+            target.service == origin.service and target.weight > 0
+            for target in route.targets
+        ):
+            return origin.service
+        return routes.choose_service(route, self._rng)
--- a/libs/gateway/src/dandelionlead/gateway/platform_codec.py
+++ b/libs/gateway/src/dandelionlead/gateway/platform_codec.py
@@ -85,6 +85,32 @@
                 None for no backup.
         """
 
+    @abc.abstractmethod
+    def encode_relay_headers(
+        self,
+        call: calls.Call,
+        remaining_s: float,
+        origin: calls.RelayOrigin,
+    ) -> client.Headers:
+        """Returns the headers with which a call is passed on to a peer.
+
+        The peer decodes the same call from them, API key included.
+
+        Args:
+            call: The call as its caller sent it.
+            remaining_s: Seconds until the call's deadline.
+            origin: States to the peer where the call comes from.
+        """
+
+    @abc.abstractmethod
+    def decode_relay_origin(self, headers: client.Headers) -> calls.RelayOrigin:
+        """Converts the headers that only a peer sends.
+
+        Args:
+            headers: All headers of a request that arrived at the port for
+                peers. Names that are missing become empty.
+        """
+
     @abc.abstractmethod
     def decode_response_head(
         self, head: client.ResponseHead
--- a/libs/gateway/src/dandelionlead/gateway/process_metrics.py
+++ b/libs/gateway/src/dandelionlead/gateway/process_metrics.py
@@ -6,6 +6,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import guards
 from dandelionlead.core import metrics
+from dandelionlead.gateway import call_relay
 from dandelionlead.gateway import peer_state
 
 # Help texts by metric name; the end of the name is the unit.
@@ -38,6 +39,10 @@
     "configuration_version": "Version of the configuration in force.",
     "orders_age_seconds": "Time since the operator's orders were confirmed.",
     "endpoints_age_seconds": "Time since the list of endpoints was confirmed.",
+    call_relay.METRIC: (
+        "Attempts to pass a call on to a peer, by outcome: answered, refused,"
+        " unreachable, broken, gone or no_room."
+    ),
     "rows_unreadable_total": (
         "Versions of rows that could not be decoded, by table."
     ),
--- a/libs/gateway/src/dandelionlead/gateway/shutdown.py
+++ b/libs/gateway/src/dandelionlead/gateway/shutdown.py
@@ -40,6 +40,8 @@
         http_listener: Accepts the connections of callers.
         log: Receives a line at the start and at the end, and one for each call
             that is still open.
+        peer_listener: Accepts the connections on which peers pass calls on;
+            None if there is none.
     """
 
     def __init__(
@@ -48,10 +50,13 @@
         calls_in_progress: open_calls.OpenCalls,
         http_listener: listener.Listener,
         log: events.Log,
+        peer_listener: listener.Listener | None = None,
     ) -> None:
         self._serving_state = serving_state
         self._open_calls = calls_in_progress
-        self._listener = http_listener
+        self._listeners = [http_listener]
+        if peer_listener is not None:
+            self._listeners.append(peer_listener)
         self._log = log
 
     def request(self, grace_s: float) -> bool:
@@ -73,13 +78,9 @@
 
     def run(self) -> None:
         """Waits for the active requests; returns when the process may end."""
-        self._log.event(
-            "stopping", requests=self._listener.count_active_connections()
-        )
+        self._log.event("stopping", requests=self._count_active_connections())
         self._await_active_requests()
-        self._log.event(
-            "stop", requests=self._listener.count_active_connections()
-        )
+        self._log.event("stop", requests=self._count_active_connections())
         self._open_calls.log_all("open_at_stop")
         self._open_calls.interrupt_unanswered()
         self._send_last_answers()
@@ -93,13 +94,16 @@
         its address for longer; the process waits until they have gone, too.
         """
         started_s = clock.boottime()
-        http_listener = self._listener
         while (now_s := clock.boottime()) < self._serving_state.stop_deadline_s:
             if now_s - started_s > _CALLER_LINGER_S:
-                http_listener.close_idle_connections()
+                self._close_idle_connections()
+                last_request_s = max(
+                    http_listener.last_request_s
+                    for http_listener in self._listeners
+                )
                 if (
-                    now_s - http_listener.last_request_s > _CALLER_QUIET_S
-                    and not http_listener.count_active_connections()
+                    now_s - last_request_s > _CALLER_QUIET_S
+                    and not self._count_active_connections()
                 ):
                     break
             eventlet.sleep(_CHECK_INTERVAL_S)
@@ -109,12 +113,25 @@
 
         A call that was interrupted gets its response meanwhile.
         """
-        self._listener.stop_accepting()
+        for http_listener in self._listeners:
+            http_listener.stop_accepting()
         # What is read from now on is refused.
         now_s = self._serving_state.stop_deadline_s = clock.boottime()
         end_s = now_s + _LAST_ANSWERS_S
         while clock.boottime() < end_s:
-            self._listener.close_idle_connections()
-            if not self._listener.connections:
+            self._close_idle_connections()
+            if not any(
+                http_listener.connections for http_listener in self._listeners
+            ):
                 break
             eventlet.sleep(_LAST_ANSWERS_PAUSE_S)
+
+    def _count_active_connections(self) -> int:
+        return sum(
+            http_listener.count_active_connections()
+            for http_listener in self._listeners
+        )
+
+    def _close_idle_connections(self) -> None:
+        for http_listener in self._listeners:
+            http_listener.close_idle_connections()
--- a/libs/gateway/tests/test_call_progress.py
+++ b/libs/gateway/tests/test_call_progress.py
@@ -60,6 +60,24 @@
                     len(outcomes) - outcomes.count(_RUN_STATE.NOT_RUN),
                 )
 
+    def test_attempt_at_a_peer_counts_like_one_at_an_endpoint(self) -> None:
+        """Guards against a call that runs again because a peer ran it."""
+        # Outcome at the peer, attempts of the route, phase, may run again.
+        cases = (
+            (_RUN_STATE.NOT_RUN, 1, _PHASE.WAITING, True),
+            (_RUN_STATE.UNKNOWN, 1, _PHASE.SENT, False),
+            (_RUN_STATE.UNKNOWN, 2, _PHASE.SENT, True),
+        )
+        for outcome, max_attempts, phase, may_run_again in cases:
+            with self.subTest(outcome=outcome, max_attempts=max_attempts):
+                progress, _ = _make_progress()
+                progress.admitted.route.max_attempts = max_attempts
+                progress.begin_relay()
+                self.assertIs(progress.phase, _PHASE.SENT)
+                progress.end_relay(outcome)
+                self.assertIs(progress.phase, phase)
+                self.assertEqual(progress.may_run_again, may_run_again)
+
     def test_phase_follows_the_response(self) -> None:
         progress, writer = _make_progress()
         progress.begin_attempt(_make_endpoint("e"))
--- a/libs/routing/src/dandelionlead/routing/calls.py
+++ b/libs/routing/src/dandelionlead/routing/calls.py
@@ -148,6 +148,21 @@
         return self.route.priority
 
 
+class RelayOrigin:
+    """Where a call comes from that a peer has passed on to this process.
+
+    Attributes:
+        node: Node name of the peer.
+        service: Service that the peer has drawn from the targets of the route.
+    """
+
+    __slots__ = ("node", "service")
+
+    def __init__(self, node: str, service: str) -> None:
+        self.node = node
+        self.service = service
+
+
 class ResumePoint:
     """Point from which an engine resumes a run.
 
