Try another peer only once a call, and refuse at once if all are cut off

After one refusal a peer was left out for 1 s, so that a process whose peers were all cut off went back to its own endpoints and waited for them. Peers that refused are now the last choice instead. The head of a passed on call may exceed the callers' limit by the added headers, and idle connections follow the peers' idle timeout.

--- a/libs/gateway/src/dandelionlead/gateway/call_relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_relay.py
@@ -27,6 +27,7 @@
 from dandelionlead.http import body_buffer
 from dandelionlead.http import client
 from dandelionlead.http import intake
+from dandelionlead.http import limits
 from dandelionlead.http import server
 from dandelionlead.routing import calls
 from dandelionlead.routing import routing_view
@@ -38,7 +39,7 @@
 # A call is sent to a second peer if the first one did not run it.
 _MAX_PEERS = 2
 _CONNECT_TIMEOUT_S = 0.25
-# A peer that did not accept a call gets no other one for this time.
+# A peer that did not accept a call is the last choice for this time.
 _AVOIDANCE_S = 1.0
 # The peer's response to a call whose deadline has passed arrives within this
 # time after the deadline.
@@ -153,7 +154,7 @@
         self._zone = zone
         self._port = port
         self._rng = rng
-        # Until when peers that did not accept a call are left out, by node.
+        # Until when peers that did not accept a call come last, by node.
         self._avoided_until_s: dict[str, float] = {}
 
     def is_cut_off(self, service: str) -> bool:
@@ -169,8 +170,7 @@
     def list_peers(self, service: str) -> list[Peer]:
         """Returns the peers that a call to a service can be passed on to.
 
-        Peers that are stopping, or that have not accepted an earlier call, are
-        left out.
+        Peers that are stopping are left out.
         """
         if self._port is None:
             return []
@@ -179,24 +179,36 @@
         return [
             Peer(member, self._port, self._zone)
             for member in self._roster.live_members(now_s)
-            if member.state.node in names
-            and not member.state.stopping
-            and self._avoided_until_s.get(member.state.node, now_s) <= now_s
+            if member.state.node in names and not member.state.stopping
         ]
 
-    def choose(self, service: str) -> Peer | None:
+    def choose(
+        self, service: str, tried_nodes: Collection[str] = ()
+    ) -> Peer | None:
         """Returns a peer that has room for a call, or None.
 
-        One in the own zone comes first; among equals the choice is random, so
-        that no peer gets all calls.
+        Peers that did not accept an earlier call come last, and one in the own
+        zone comes first. Among equals the choice is random, so that no peer
+        gets all calls.
+
+        Args:
+            service: Name of the service.
+            tried_nodes: Node names of the peers that the call was sent to.
         """
         peers = [
             peer
             for peer in self.list_peers(service)
-            if self.open_calls.get(peer.node, 0) < MAX_CALLS_PER_PEER
+            if peer.node not in tried_nodes
+            and self.open_calls.get(peer.node, 0) < MAX_CALLS_PER_PEER
         ]
-        nearby = [peer for peer in peers if peer.is_in_own_zone]
-        return self._rng.choice(nearby or peers) if peers else None
+        now_s = clock.boottime()
+        peers = [
+            peer
+            for peer in peers
+            if self._avoided_until_s.get(peer.node, now_s) <= now_s
+        ] or peers
+        peers = [peer for peer in peers if peer.is_in_own_zone] or peers
+        return self._rng.choice(peers) if peers else None
 
     @contextlib.contextmanager
     def hold(self, peer: Peer) -> Iterator[None]:
@@ -210,9 +222,20 @@
                 del self.open_calls[peer.node]
 
     def avoid(self, peer: Peer) -> None:
-        """Leaves a peer out for some time, since it did not accept a call."""
+        """Makes a peer the last choice for some time.
+
+        For peers that have not accepted a call, or whose response broke.
+        """
         self._avoided_until_s[peer.node] = clock.boottime() + _AVOIDANCE_S
 
+    def get_idle_timeout_s(self) -> float:
+        """Returns the seconds after which peers close an idle connection."""
+        configuration = self._view.configuration
+        request_limits = (
+            configuration.limits if configuration else limits.RequestLimits()
+        )
+        return request_limits.idle_timeout_s
+
     def list_peer_ids(self) -> set[str]:
         """Returns the ids of the live peers, and forgets what is out of date.
 
@@ -288,6 +311,11 @@
             "relay_refused", req=request_id, via=peer.node, reason=reason
         )
 
+    def return_conn(self, peer: Peer, conn: client.ClientConnection) -> None:
+        """Keeps a connection for reuse whose response was read completely."""
+        conn.keep_alive_timeout_s = self.peers.get_idle_timeout_s()
+        self.pool.release(peer, conn)
+
     def close_unused_connections(self) -> None:
         """Closes the connections that are idle for long or lead to no peer."""
         self.pool.close_unusable(self.peers.list_peer_ids())
@@ -334,7 +362,7 @@
         self._response_writer = response_writer
         self._progress = progress
         self._retry_after_s = retry_after_s
-        self._peers_left = _MAX_PEERS
+        self._tried_nodes: set[str] = set()
 
     def forward(self) -> bool:
         """Sends the call to a peer and forwards the response.
@@ -348,9 +376,8 @@
         Raises:
             CallerDisconnectedError: The caller closed its connection.
         """
-        while self._peers_left:
-            self._peers_left -= 1
-            peer = self._relay.peers.choose(self._admitted.service.name)
+        while len(self._tried_nodes) < _MAX_PEERS:
+            peer = self._choose_peer()
             if peer is None:
                 self._record_no_peer()
                 return False
@@ -377,6 +404,7 @@
         """Sends the call to one peer; returns whether the response is whole."""
         relay = self._relay
         self.node = peer.node
+        self._tried_nodes.add(peer.node)
         conn = relay.pool.acquire(
             peer,
             _CONNECT_TIMEOUT_S,
@@ -407,7 +435,7 @@
             self._progress.end_relay(run_state)
             relay.count(outcome)
             if is_reusable:
-                relay.pool.release(peer, conn)
+                relay.return_conn(peer, conn)
             else:
                 conn.close()
 
@@ -494,16 +522,20 @@
         if not is_shared:
             self._relay.peers.avoid(peer)
         has_another = (
-            not is_shared and self._peers_left and self._has_other_peer()
+            not is_shared
+            and len(self._tried_nodes) < _MAX_PEERS
+            and self._choose_peer() is not None
         )
         if has_another or self._progress.possible_run_count:
             return self._make_refusal(f"{peer.node} refused: {reason}")
         body.append(data)
         return self._send_whole(head, body, Outcome.REFUSED)
 
-    def _has_other_peer(self) -> bool:
-        """Returns whether another peer takes the call."""
-        return self._relay.peers.choose(self._admitted.service.name) is not None
+    def _choose_peer(self) -> Peer | None:
+        """Returns a peer that the call was not sent to yet, or None."""
+        return self._relay.peers.choose(
+            self._admitted.service.name, self._tried_nodes
+        )
 
     def _send_whole(
         self,
--- a/libs/gateway/src/dandelionlead/gateway/gateway.py
+++ b/libs/gateway/src/dandelionlead/gateway/gateway.py
@@ -25,6 +25,9 @@
 from dandelionlead.routing import model
 from dandelionlead.routing import routes
 
+# Room for the headers that a peer adds to a call that it passes on.
+_ADDED_HEADER_BYTES = 4_096
+
 
 class Gateway(server.Handler):
     """Handles the requests that arrive at one process."""
@@ -62,10 +65,21 @@
     def get_request_limits(self) -> limits.RequestLimits:
         """Returns the limits on callers' requests that are in force.
 
-        The default limits apply while there is no configuration.
+        The default limits apply while there is no configuration. The head of a
+        call that a peer passes on may be larger by the headers that it adds.
         """
         configuration = self._view.configuration
-        return configuration.limits if configuration else limits.RequestLimits()
+        in_force = (
+            configuration.limits if configuration else limits.RequestLimits()
+        )
+        if not self._serves_peers:
+            return in_force
+        return limits.RequestLimits(
+            in_force.max_header_bytes + _ADDED_HEADER_BYTES,
+            in_force.max_body_bytes,
+            in_force.header_timeout_s,
+            in_force.idle_timeout_s,
+        )
 
     def is_closing(self) -> bool:
         """Returns whether to close connections after their present request."""
