Open all connections to endpoints in the connection pool

Crash detection and the limit on attempts opened connections by themselves, so nothing could observe or fail all of one process's paths. No change of behaviour.

--- a/libs/gateway/src/dandelionlead/gateway/attempt_limit.py
+++ b/libs/gateway/src/dandelionlead/gateway/attempt_limit.py
@@ -6,22 +6,12 @@
 
 from dandelionlead.core import errors
 from dandelionlead.gateway import call_progress
-from dandelionlead.http import client
 from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
 
 _CONNECT_TIMEOUT_S = 0.3
 
 
-def can_connect(endpoint: model.Endpoint) -> bool:
-    """Returns whether an endpoint accepts a connection now."""
-    conn = client.connect(endpoint.address, _CONNECT_TIMEOUT_S)
-    if isinstance(conn, errors.Failure):
-        return False
-    conn.close()
-    return True
-
-
 class AttemptLimit:
     """Compares the engines that may have run a call with its route's limit.
 
@@ -31,15 +21,16 @@
     Args:
         progress: Holds the endpoints that may have run the call.
         view: Holds the entries of the endpoints and which of them are leaving.
-        connects: Returns whether an endpoint accepts a connection. It is called
-            only if the endpoint decides whether the limit is reached.
+        connects: Returns why no connection to an endpoint can be opened within
+            some seconds, or None. It is called only if the endpoint decides
+            whether the limit is reached.
     """
 
     def __init__(
         self,
         progress: call_progress.CallProgress,
         view: routing_view.RoutingView,
-        connects: Callable[[model.Endpoint], bool] = can_connect,
+        connects: Callable[[model.Endpoint, float], errors.Failure | None],
     ) -> None:
         self._progress = progress
         self._view = view
@@ -55,7 +46,11 @@
         ]
         if len(listed) < max_attempts:
             return True
-        return sum(map(self._connects, listed)) < max_attempts
+        reached_count = sum(
+            self._connects(endpoint, _CONNECT_TIMEOUT_S) is None
+            for endpoint in listed
+        )
+        return reached_count < max_attempts
 
     def _is_listed(self, endpoint: model.Endpoint) -> bool:
         """Returns whether the same start of an endpoint has an entry."""
--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -30,6 +30,13 @@
 _MIN_IDLE_LIMIT_S = 0.05
 CONNECT_TIMEOUT_S = 0.5
 
+# Opens a connection to an address within some seconds; the bodies that it reads
+# are counted by the given intake, or by an account of its own.
+Connector = Callable[
+    [tuple[str, int], float, intake.Intake | None],
+    client.ClientConnection | errors.Failure,
+]
+
 
 class ConnectionPool:
     """Pool of idle connections, by endpoint id.
@@ -43,6 +50,10 @@
             be idle.
         memory: Counts the bodies that all connections read; None for an account
             of each.
+
+    Attributes:
+        connector: Opens all connections to endpoints. Tests replace it to cut
+            the paths of one process.
     """
 
     def __init__(
@@ -50,6 +61,7 @@
         get_share: Callable[[model.Endpoint], int],
         memory: intake.Intake | None = None,
     ) -> None:
+        self.connector: Connector = client.connect
         self._get_share = get_share
         self._memory = memory
         self._idle_conns: dict[str, list[client.ClientConnection]] = {}
@@ -91,9 +103,28 @@
                 conn.idle_before_request_s = now_s - conn.idle_since_s
                 return conn
             conn.close()
-        return client.connect(
-            endpoint.address, min(CONNECT_TIMEOUT_S, timeout_s), self._memory
-        )
+        return self._open(endpoint, min(CONNECT_TIMEOUT_S, timeout_s))
+
+    def try_connect(
+        self, endpoint: model.Endpoint, timeout_s: float
+    ) -> errors.Failure | None:
+        """Opens a connection, closes it, and returns why it failed, or None.
+
+        Args:
+            endpoint: The endpoint to connect to.
+            timeout_s: Longest time for opening the connection, in seconds.
+        """
+        conn = self._open(endpoint, timeout_s)
+        if isinstance(conn, errors.Failure):
+            return conn
+        conn.close()
+        return None
+
+    def _open(
+        self, endpoint: model.Endpoint, timeout_s: float
+    ) -> client.ClientConnection | errors.Failure:
+        """Opens a connection to an endpoint."""
+        return self.connector(endpoint.address, timeout_s, self._memory)
 
     def release(
         self, endpoint: model.Endpoint, conn: client.ClientConnection
--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import eventlet
 
 from dandelionlead.core import clock
@@ -29,6 +31,17 @@
 _MAX_PART_ID_LENGTH = 32
 
 
+def try_connect(
+    endpoint: model.Endpoint, timeout_s: float
+) -> errors.Failure | None:
+    """Opens a connection, closes it, and returns why it failed, or None."""
+    conn = client.connect(endpoint.address, timeout_s)
+    if isinstance(conn, errors.Failure):
+        return conn
+    conn.close()
+    return None
+
+
 class CrashDetector:
     """Checks endpoints whose connections broke.
 
@@ -38,6 +51,8 @@
         scheduler: Records the suspected requests and the crashes.
         view: Holds which endpoints are leaving.
         log: Receives one line for each crash.
+        connects: Returns why no connection to an endpoint can be opened within
+            some seconds, or None.
     """
 
     def __init__(
@@ -45,8 +60,12 @@
         scheduler: scheduling.Scheduler,
         view: routing_view.RoutingView,
         log: events.Log,
+        connects: Callable[
+            [model.Endpoint, float], errors.Failure | None
+        ] = try_connect,
     ) -> None:
         self._scheduler = scheduler
+        self._connects = connects
         self._view = view
         self._log = log
         self._endpoint_ids_in_check: set[str] = set()
@@ -77,15 +96,14 @@
 
     def _record_if_crashed(self, endpoint: model.Endpoint) -> bool:
         """Records a crash and returns True if a connection attempt fails."""
-        conn = client.connect(endpoint.address, _CONNECT_TIMEOUT_S)
-        if not isinstance(conn, errors.Failure):
-            conn.close()
+        failure = self._connects(endpoint, _CONNECT_TIMEOUT_S)
+        if failure is None:
             return False
         self._scheduler.record_unreachable(endpoint, clock.boottime())
         self._log.event(
             "endpoint_crashed",
             endpoint=endpoint.endpoint_id,
-            reason=conn.reason,
+            reason=failure.reason,
         )
         return True
 
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -91,7 +91,7 @@
         self.call_reporter = call_reporter
         self.serving_state = serving_state
         self.crash_detector = crash_detection.CrashDetector(
-            scheduler, view, log
+            scheduler, view, log, sender.try_connect
         )
         self.endpoint_finder = endpoint_finder.EndpointFinder(
             scheduler, serving_state
@@ -450,7 +450,9 @@
             self._response_writer,
             self._crashes,
             self.progress,
-            attempt_limit.AttemptLimit(self.progress, deps.view),
+            attempt_limit.AttemptLimit(
+                self.progress, deps.view, deps.sender.try_connect
+            ),
         )
         self._status = response.head.status
         self._outcome = stream_relay.outcome
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -168,6 +168,12 @@
         response.is_pooled = True
         self._pool.release(response.endpoint, response.conn)
 
+    def try_connect(
+        self, endpoint: model.Endpoint, timeout_s: float
+    ) -> errors.Failure | None:
+        """Opens a connection, closes it, and returns why it failed, or None."""
+        return self._pool.try_connect(endpoint, timeout_s)
+
     def find_broken_end(
         self, response: EndpointResponse
     ) -> errors.Failure | None:
--- a/libs/gateway/tests/engine_fakes.py
+++ b/libs/gateway/tests/engine_fakes.py
@@ -166,6 +166,14 @@
         self.sent_ids: set[str] = set()
         self.overlaps: list[str] = []
 
+    def try_connect(
+        self, endpoint: model.Endpoint, _: float
+    ) -> errors.Failure | None:
+        """Returns a failure if an engine is gone."""
+        if self._engines[endpoint.endpoint_id].is_gone:
+            return errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "gone")
+        return None
+
     def send_call(
         self,
         admitted: calls.AdmittedCall,
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -557,6 +557,13 @@
     # Ids of engines that accept no connections.
     unreachable_ids: frozenset[str] = frozenset()
 
+    def _find_connect_failure(
+        self, endpoint: model.Endpoint, _: float
+    ) -> errors.Failure | None:
+        if endpoint.endpoint_id not in self.unreachable_ids:
+            return None
+        return errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "unreachable")
+
     def relay(
         self,
         run: runs.Run,
@@ -571,7 +578,7 @@
         limit = attempt_limit.AttemptLimit(
             progress,
             self.view,
-            lambda endpoint: endpoint.endpoint_id not in self.unreachable_ids,
+            self._find_connect_failure,
         )
         detector = crash_detection.CrashDetector(self.scheduler, self.view, log)
         stream_relay = relay.Relay(
