Show which services a process does not reach, and whether its peers do

The logs could not tell an endpoint that is down from one that a single process does not reach. A process now records each new connection, probes other endpoints after a failed one, and states to its peers which services it does not reach; peers that reach them say so. While all is reached nothing is probed or stated. Nothing acts on it yet.

--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -108,6 +108,18 @@
   3: double failures
 }
 
+// Whether a process reaches the endpoints of a service. A process states this
+// only while it, or a peer, does not reach them.
+struct ServiceReach {
+  1: string service_name
+  // Milliseconds since the process last opened a connection; -1 if it never did.
+  2: i32 reached_ms_ago
+  // Whether connections to many endpoints have failed, and none was opened since.
+  3: bool is_unreached
+  // Whether a peer reaches the service meanwhile.
+  4: bool is_cut_off
+}
+
 // Durations of the calls of one route that ended with success: their number, the
 // sum of the natural logarithms in seconds, and the sum of the squares of these.
 struct RouteDurations {
@@ -163,6 +175,8 @@
   // take these outcomes into account, too.
   10: list<EndpointHealth> doubtful
   11: list<VersionCount> versions
+  // Left out by processes of earlier versions.
+  12: list<ServiceReach> reach
 }
 
 // How long ago processes were alive, one entry of each list a process.
--- a/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
+++ b/libs/cluster/src/dandelionlead/cluster/gen/ttypes.py
@@ -1155,6 +1155,110 @@
         return not (self == other)
 
 
+class ServiceReach(object):
+    """
+    Attributes:
+     - service_name
+     - reached_ms_ago
+     - is_unreached
+     - is_cut_off
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'reached_ms_ago',
+        'is_unreached',
+        'is_cut_off',
+    )
+
+
+    def __init__(self, service_name=None, reached_ms_ago=None, is_unreached=None, is_cut_off=None,):
+        self.service_name = service_name
+        self.reached_ms_ago = reached_ms_ago
+        self.is_unreached = is_unreached
+        self.is_cut_off = is_cut_off
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.reached_ms_ago = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_unreached = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.is_cut_off = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceReach')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.reached_ms_ago is not None:
+            oprot.writeFieldBegin('reached_ms_ago', TType.I32, 2)
+            oprot.writeI32(self.reached_ms_ago)
+            oprot.writeFieldEnd()
+        if self.is_unreached is not None:
+            oprot.writeFieldBegin('is_unreached', TType.BOOL, 3)
+            oprot.writeBool(self.is_unreached)
+            oprot.writeFieldEnd()
+        if self.is_cut_off is not None:
+            oprot.writeFieldBegin('is_cut_off', TType.BOOL, 4)
+            oprot.writeBool(self.is_cut_off)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RouteDurations(object):
     """
     Attributes:
@@ -1526,6 +1630,7 @@
      - reads_store
      - doubtful
      - versions
+     - reach
 
     """
 
@@ -1541,10 +1646,11 @@
         'reads_store',
         'doubtful',
         'versions',
+        'reach',
     )
 
 
-    def __init__(self, node=None, incarnation=None, version=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, reads_store=None, doubtful=None, versions=None,):
+    def __init__(self, node=None, incarnation=None, version=None, host=None, availability_zone=None, front=None, ready=None, stopping=None, reads_store=None, doubtful=None, versions=None, reach=None,):
         self.node = node
         self.incarnation = incarnation
         self.version = version
@@ -1556,6 +1662,7 @@
         self.reads_store = reads_store
         self.doubtful = doubtful
         self.versions = versions
+        self.reach = reach
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1633,6 +1740,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.reach = []
+                    (_etype106, _size103) = iprot.readListBegin()
+                    for _i107 in range(_size103):
+                        _elem108 = ServiceReach()
+                        _elem108.read(iprot)
+                        self.reach.append(_elem108)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1693,6 +1811,13 @@
                 iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.reach is not None:
+            oprot.writeFieldBegin('reach', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRUCT, len(self.reach))
+            for iter109 in self.reach:
+                iter109.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2872,6 +2997,14 @@
     (2, TType.DOUBLE, 'answers', None, None, ),  # 2
     (3, TType.DOUBLE, 'failures', None, None, ),  # 3
 )
+all_structs.append(ServiceReach)
+ServiceReach.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'reached_ms_ago', None, None, ),  # 2
+    (3, TType.BOOL, 'is_unreached', None, None, ),  # 3
+    (4, TType.BOOL, 'is_cut_off', None, None, ),  # 4
+)
 all_structs.append(RouteDurations)
 RouteDurations.thrift_spec = (
     None,  # 0
@@ -2913,6 +3046,7 @@
     (9, TType.BOOL, 'reads_store', None, None, ),  # 9
     (10, TType.LIST, 'doubtful', (TType.STRUCT, [EndpointHealth, None], False), None, ),  # 10
     (11, TType.LIST, 'versions', (TType.STRUCT, [VersionCount, None], False), None, ),  # 11
+    (12, TType.LIST, 'reach', (TType.STRUCT, [ServiceReach, None], False), None, ),  # 12
 )
 all_structs.append(Beats)
 Beats.thrift_spec = (
--- a/libs/cluster/src/dandelionlead/cluster/message_checks.py
+++ b/libs/cluster/src/dandelionlead/cluster/message_checks.py
@@ -32,6 +32,7 @@
                 "wants_all_states",
             )
         ),
+        (ttypes.MemberState, "reach"),
         (ttypes.Row, "value"),
         (ttypes.Row, "is_compressed"),
         (ttypes.CopyRequest, "accepts_compression"),
--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 from collections.abc import Callable
 from collections.abc import Collection
 
@@ -29,6 +30,9 @@
 _DROPPED_IDLE_FRACTION = 0.5
 _MIN_IDLE_LIMIT_S = 0.05
 CONNECT_TIMEOUT_S = 0.5
+# A failure to connect within less time may be that of a call whose deadline is
+# near, and does not count as a failed connection.
+_MIN_TELLING_TIMEOUT_S = 0.2
 
 # Opens a connection to an address within some seconds; the bodies that it reads
 # are counted by the given intake, or by an account of its own.
@@ -38,6 +42,22 @@
 ]
 
 
+class ConnectionListener(abc.ABC):
+    """Is told which new connections could be opened."""
+
+    @abc.abstractmethod
+    def handle_opened(self, endpoint: model.Endpoint) -> None:
+        """A new connection to an endpoint was opened."""
+
+    @abc.abstractmethod
+    def handle_failed(self, endpoint: model.Endpoint) -> None:
+        """A new connection to an endpoint could not be opened."""
+
+    @abc.abstractmethod
+    def handle_silent(self, endpoint: model.Endpoint) -> None:
+        """A request on a pooled connection got no response in time."""
+
+
 class ConnectionPool:
     """Pool of idle connections, by endpoint id.
 
@@ -54,6 +74,7 @@
     Attributes:
         connector: Opens all connections to endpoints. Tests replace it to cut
             the paths of one process.
+        listener: Is told which connections could be opened; None for nobody.
     """
 
     def __init__(
@@ -62,6 +83,7 @@
         memory: intake.Intake | None = None,
     ) -> None:
         self.connector: Connector = client.connect
+        self.listener: ConnectionListener | None = None
         self._get_share = get_share
         self._memory = memory
         self._idle_conns: dict[str, list[client.ClientConnection]] = {}
@@ -124,7 +146,19 @@
         self, endpoint: model.Endpoint, timeout_s: float
     ) -> client.ClientConnection | errors.Failure:
         """Opens a connection to an endpoint."""
-        return self.connector(endpoint.address, timeout_s, self._memory)
+        conn = self.connector(endpoint.address, timeout_s, self._memory)
+        if self.listener is None:
+            return conn
+        if not isinstance(conn, errors.Failure):
+            self.listener.handle_opened(endpoint)
+        elif timeout_s >= _MIN_TELLING_TIMEOUT_S:
+            self.listener.handle_failed(endpoint)
+        return conn
+
+    def note_silent(self, endpoint: model.Endpoint) -> None:
+        """Notes that a request on a pooled connection got no response."""
+        if self.listener is not None:
+            self.listener.handle_silent(endpoint)
 
     def release(
         self, endpoint: model.Endpoint, conn: client.ClientConnection
--- a/libs/gateway/src/dandelionlead/gateway/peer_state.py
+++ b/libs/gateway/src/dandelionlead/gateway/peer_state.py
@@ -22,6 +22,7 @@
 from dandelionlead.routing import health
 from dandelionlead.routing import loads
 from dandelionlead.routing import prompt_crashes
+from dandelionlead.routing import reach_statements
 from dandelionlead.routing import rollouts
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import scheduling
@@ -129,6 +130,8 @@
         self._process_state = process_state
         self._on_newer_table = on_newer_table
         self._sent_evidence: dict[str, health.Evidence] = {}
+        self._sent_statements: list[reach_statements.Statement] = []
+        self._sent_reach: list[ttypes.ServiceReach] = []
 
     def build_state(self, version: int, now_s: float) -> ttypes.MemberState:
         """Returns what this process says of itself, with a version."""
@@ -152,6 +155,7 @@
                 )
             ],
             versions=self._encode_version_counts(),
+            reach=self._encode_reach(now_s),
         )
 
     def get_own_load(self, endpoint_id: str) -> ttypes.EndpointLoad:
@@ -237,6 +241,7 @@
             },
             float("inf"),
         )
+        self._apply_reach(state)
         for rollout in self._process_state.view.rollouts.list_all():
             counts = {
                 item.is_new: rollouts.CallCounts(
@@ -366,6 +371,48 @@
         scheduler.health_tracker.replace_peer_evidence(
             state.node, {}, float("inf")
         )
+        scheduler.reach_tracker.replace_peer_reach(
+            state.node, {}, clock.boottime()
+        )
+        scheduler.reach_tracker.replace_peer_doubts(state.node, ())
+
+    def _apply_reach(self, state: ttypes.MemberState) -> None:
+        """Applies which services another process reaches, and which not."""
+        tracker = self._process_state.scheduler.reach_tracker
+        items = (state.reach or [])[: reach_statements.MAX_SERVICES]
+        tracker.replace_peer_reach(
+            state.node,
+            {
+                item.service_name: item.reached_ms_ago / 1e3
+                for item in items
+                if not item.is_unreached and item.reached_ms_ago >= 0
+            },
+            clock.boottime(),
+        )
+        tracker.replace_peer_doubts(
+            state.node,
+            [item.service_name for item in items if item.is_unreached],
+        )
+
+    def _encode_reach(self, now_s: float) -> list[ttypes.ServiceReach]:
+        """Returns what this process states of its reach.
+
+        The ages are those at the time when the statements last changed, so that
+        the passing of time alone is no change of the state.
+        """
+        statements = self._process_state.scheduler.reach_statements.list_all()
+        if statements != self._sent_statements:
+            self._sent_statements = statements
+            self._sent_reach = [
+                ttypes.ServiceReach(
+                    item.service,
+                    _ms_since(item.reached_s, now_s),
+                    item.is_unreached,
+                    item.is_cut_off,
+                )
+                for item in statements
+            ]
+        return self._sent_reach
 
     def _update_sent_evidence(self, now_s: float) -> dict[str, health.Evidence]:
         """Returns the evidence to send, the last one unless it has changed."""
--- a/libs/gateway/src/dandelionlead/gateway/process_metrics.py
+++ b/libs/gateway/src/dandelionlead/gateway/process_metrics.py
@@ -7,6 +7,7 @@
 from dandelionlead.core import guards
 from dandelionlead.core import metrics
 from dandelionlead.gateway import peer_state
+from dandelionlead.gateway import reach_probing
 
 # Help texts by metric name; the end of the name is the unit.
 HELP_TEXTS = {
@@ -27,6 +28,16 @@
     "table_copies_total": (
         "Copies of tables from peers, by outcome: applied, busy or failed."
     ),
+    reach_probing.PROBES_METRIC: (
+        "Connections that were opened to find out whether endpoints are in"
+        " reach."
+    ),
+    "services_cut_off_count": (
+        "Services that peers reach, but this process does not."
+    ),
+    "services_unreached_count": (
+        "Services at which connections to many endpoints fail."
+    ),
     "tries_total": "Attempts to send calls to endpoints.",
     "ready_bool": "1 if callers should use this process, else 0.",
     "gossip_sent_bytes": "Bytes of datagrams sent to other processes.",
@@ -80,6 +91,10 @@
     metrics_registry.register_gauge(
         "configuration_version", gauges.configuration
     )
+    metrics_registry.register_gauge("services_cut_off_count", gauges.cut_off)
+    metrics_registry.register_gauge(
+        "services_unreached_count", gauges.unreached
+    )
     metrics_registry.register_gauge("orders_age_seconds", gauges.orders_age_s)
     metrics_registry.register_gauge(
         "endpoints_age_seconds", gauges.endpoints_age_s
@@ -129,6 +144,22 @@
             len(view.list_open_endpoints(service)) for service in services
         )
 
+    def cut_off(self) -> float:
+        return sum(
+            item.is_cut_off
+            for item in (
+                self._process_state.scheduler.reach_statements.list_all()
+            )
+        )
+
+    def unreached(self) -> float:
+        return sum(
+            item.is_unreached
+            for item in (
+                self._process_state.scheduler.reach_statements.list_all()
+            )
+        )
+
     def configuration(self) -> float:
         configuration = self._process_state.view.configuration
         return configuration.version if configuration else -1
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -149,6 +149,8 @@
         failure: errors.Failure,
     ) -> None:
         """Lowers an endpoint's idle limit if a reused connection broke."""
+        if failure.kind is errors.Kind.ENDPOINT_SILENT and conn.is_reused:
+            self._pool.note_silent(endpoint)
         is_broken = failure.kind is errors.Kind.ENDPOINT_FAILED
         if is_broken and conn.idle_before_request_s:
             self._pool.lower_idle_limit(endpoint, conn.idle_before_request_s)
--- a/libs/gateway/src/dandelionlead/gateway/state_dump.py
+++ b/libs/gateway/src/dandelionlead/gateway/state_dump.py
@@ -63,6 +63,12 @@
                 }
                 for rollout in process_state.view.rollouts.list_all()
             ],
+            "reach": {
+                service: process_state.scheduler.assess_reach(
+                    service, now_s
+                ).value
+                for service in process_state.view.list_service_names()
+            },
             "quarantined_prompt_parts": (
                 process_state.scheduler.prompt_crash_tracker.list_quarantined(
                     now_s
@@ -79,6 +85,11 @@
                     "beat_s_ago": round(now_s - member.beat_s, 3),
                     "ready": member.state.ready,
                     "reads_store": member.state.reads_store,
+                    "unreached_services": [
+                        item.service_name
+                        for item in member.state.reach or ()
+                        if item.is_unreached
+                    ],
                 }
                 for member in process_state.peer_roster.live_members(now_s)
             ],
--- a/libs/routing/src/dandelionlead/routing/health.py
+++ b/libs/routing/src/dandelionlead/routing/health.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 # Time in seconds in which the weight of an outcome falls to one half.
 HALF_LIFE_S = 4.0
 # First and longest time for which an unreachable endpoint is paused. The time
@@ -180,6 +182,11 @@
         for endpoint_id in set(self._records) - endpoint_ids:
             del self._records[endpoint_id]
 
+    def forget(self, endpoint_ids: Collection[str]) -> None:
+        """Removes the records of some endpoints, and so ends their pauses."""
+        for endpoint_id in endpoint_ids:
+            self._records.pop(endpoint_id, None)
+
     def _get_record(self, endpoint_id: str, now_s: float) -> _Record:
         """Returns the record of an endpoint, decayed to the current time.
 
--- a/libs/routing/src/dandelionlead/routing/reach.py
+++ b/libs/routing/src/dandelionlead/routing/reach.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 from collections.abc import Collection
 
 # An own failure counts for this time. While a service is not reached, endpoints
@@ -19,12 +20,9 @@
 OWN_MAX_AGE_S = 5.0
 # What a peer has reached counts for this time.
 PEER_MAX_AGE_S = 4.0
-# A peer must have reached the service after the own failures began. Its age is
-# rounded, and it is older by the time that the message took.
-_PEER_TOLERANCE_S = 0.5
 # Endpoints without a connection from which a service counts as not reached; all
 # of them if it has fewer. Single endpoints also fail because they are down.
-_MIN_UNREACHED = 3
+_MIN_UNREACHED = 4
 _NEVER = float("-inf")
 
 
@@ -79,14 +77,22 @@
 
 
 class ReachTracker:
-    """Connections of this process to endpoints, and what peers reach."""
+    """Connections of this process to endpoints, and what peers reach.
+
+    Attributes:
+        doubt_listener: Called when a peer states that it does not reach a
+            service.
+    """
 
     def __init__(self) -> None:
+        self.doubt_listener: Callable[[], None] = lambda: None
         # By endpoint id.
         self._records: dict[str, _Record] = {}
         # Times in seconds at which peers reached services, by name of the
         # service, by name of the peer.
         self._peer_reach: dict[str, dict[str, float]] = {}
+        # Services that peers state not to reach, by name of the peer.
+        self._peer_doubts: dict[str, frozenset[str]] = {}
 
     def record_reached(self, endpoint_id: str, now_s: float) -> None:
         """Records that a new connection to an endpoint was opened."""
@@ -119,6 +125,24 @@
         else:
             self._peer_reach.pop(peer_name, None)
 
+    def replace_peer_doubts(
+        self, peer_name: str, services: Collection[str]
+    ) -> None:
+        """Replaces the services that a peer states not to reach."""
+        if services:
+            self._peer_doubts[peer_name] = frozenset(services)
+            self.doubt_listener()
+        else:
+            self._peer_doubts.pop(peer_name, None)
+
+    def list_doubting_peers(self, service: str) -> list[str]:
+        """Returns the names of the peers that state not to reach a service."""
+        return [
+            name
+            for name, services in self._peer_doubts.items()
+            if service in services
+        ]
+
     def get_last_reached_s(self, endpoint_ids: Collection[str]) -> float:
         """Returns when any of some endpoints was last reached, in seconds.
 
@@ -133,6 +157,11 @@
             default=_NEVER,
         )
 
+    def get_last_unreached_s(self, endpoint_id: str) -> float:
+        """Returns when a connection to an endpoint last failed, in seconds."""
+        record = self._records.get(endpoint_id)
+        return _NEVER if record is None else record.unreached_s
+
     def is_in_doubt(self, endpoint_ids: Collection[str], now_s: float) -> bool:
         """Whether a connection failed since any of the endpoints was reached.
 
@@ -180,9 +209,7 @@
             return Reach.REACHED if is_known else Reach.UNKNOWN
         if not _are_enough(failures, endpoint_ids):
             return Reach.UNKNOWN
-        earliest_s = max(
-            failures.since_s - _PEER_TOLERANCE_S, now_s - PEER_MAX_AGE_S
-        )
+        earliest_s = max(failures.since_s, now_s - PEER_MAX_AGE_S)
         is_reached_by_peer = any(
             reached.get(service, _NEVER) >= earliest_s
             for reached in self._peer_reach.values()
--- a/libs/routing/src/dandelionlead/routing/routing_view.py
+++ b/libs/routing/src/dandelionlead/routing/routing_view.py
@@ -238,6 +238,27 @@
             if endpoint.availability_zone not in self.closed_zones
         ]
 
+    def list_service_names(self) -> list[str]:
+        """Returns the names of the services that have endpoints."""
+        return list(self.list_endpoint_ids_by_service())
+
+    def list_endpoint_ids_by_service(self) -> dict[str, list[str]]:
+        """Returns the ids of all endpoints, by name of the service."""
+        endpoint_ids: dict[str, list[str]] = {}
+        for endpoint in self.endpoints.values():
+            endpoint_ids.setdefault(endpoint.service, []).append(
+                endpoint.endpoint_id
+            )
+        return endpoint_ids
+
+    def list_service_endpoints(self, service: str) -> list[model.Endpoint]:
+        """Returns all endpoints of a service, also those that are leaving."""
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.service == service
+        ]
+
     def list_grace_endpoints(
         self, service: str, now_s: float
     ) -> list[model.Endpoint]:
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -23,6 +23,8 @@
 from dandelionlead.routing import policy
 from dandelionlead.routing import prefill_rate
 from dandelionlead.routing import prompt_crashes
+from dandelionlead.routing import reach
+from dandelionlead.routing import reach_statements
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import shared_limits
 from dandelionlead.routing import zone_share
@@ -107,6 +109,8 @@
     Attributes:
         load_tracker: Load of each endpoint.
         health_tracker: Recent failures and the pause of each endpoint.
+        reach_tracker: Which endpoints this process and its peers reach.
+        reach_statements: What this process states of its reach to peers.
         retry_budget: Budget of retries, which all processes share.
         prefill_rate: Rate at which engines read prompts.
         endpoint_paces: How fast each engine is, compared with the others.
@@ -128,6 +132,10 @@
         self.operator_policy = operator_policy or policy.Policy()
         self.load_tracker = loads.LoadTracker()
         self.health_tracker = health.HealthTracker()
+        self.reach_tracker = reach.ReachTracker()
+        self.reach_statements = reach_statements.ReachStatements(
+            self.reach_tracker
+        )
         self.retry_budget = retry_budget
         self.prefill_rate = prefill_rate.PrefillRate()
         self.endpoint_paces = endpoint_pace.EndpointPaces(
@@ -351,10 +359,49 @@
         each part of a prompt, whose connection to it broke shortly before.
         """
         self.health_tracker.record_unreachable(endpoint.endpoint_id, now_s)
+        self.record_endpoint_lost(endpoint, now_s)
+
+    def record_endpoint_lost(
+        self, endpoint: model.Endpoint, now_s: float
+    ) -> None:
+        """Records a crash for each request whose connection broke shortly ago.
+
+        The same applies to each part of the prompts of these requests.
+        """
         incarnation = endpoint.incarnation
         self.crash_tracker.record_endpoint_lost(incarnation, now_s)
         self.prompt_crash_tracker.record_endpoint_lost(incarnation, now_s)
 
+    def assess_reach(self, service: str, now_s: float) -> reach.Reach:
+        """Returns whether this process reaches a service."""
+        return self.reach_tracker.assess(
+            service, self._list_endpoint_ids(service), now_s
+        )
+
+    def is_reach_in_doubt(self, service: str, now_s: float) -> bool:
+        """Whether a connection failed since the service was last reached."""
+        return self.reach_tracker.is_in_doubt(
+            self._list_endpoint_ids(service), now_s
+        )
+
+    def is_unreached(self, service: str, now_s: float) -> bool:
+        """Whether connections to many endpoints failed, and none opened."""
+        return self.reach_tracker.is_unreached(
+            self._list_endpoint_ids(service), now_s
+        )
+
+    def get_last_reached_s(self, service: str) -> float:
+        """Returns when any endpoint of a service was last reached, in s."""
+        return self.reach_tracker.get_last_reached_s(
+            self._list_endpoint_ids(service)
+        )
+
+    def _list_endpoint_ids(self, service: str) -> list[str]:
+        return [
+            endpoint.endpoint_id
+            for endpoint in self._view.list_service_endpoints(service)
+        ]
+
     def count_sent(self, endpoint: model.Endpoint, now_s: float) -> None:
         """Counts a request that is about to be sent to an endpoint.
 
