Leave processes that are cut off out of the directory

Callers kept being named processes that reach no worker. What a cut process fails at is no evidence to its peers, to rollouts or for crashes any more: it is not reported, and a crash check waits up to 1.5 s until it is known whether only the path is lost.

--- a/libs/cluster/src/dandelionlead/cluster/roster.py
+++ b/libs/cluster/src/dandelionlead/cluster/roster.py
@@ -267,12 +267,24 @@
 
         Processes that are not ready or that are stopping are left out.
         """
+        return [member.state.front for member in self.list_ready(now_s)]
+
+    def list_ready(self, now_s: float) -> list[Member]:
+        """Returns the live processes that are ready and not stopping."""
         return [
-            member.state.front
+            member
             for member in self.live_members(now_s)
             if member.state.ready and not member.state.stopping
         ]
 
+    def reaching_names(self, now_s: float) -> list[str]:
+        """Returns the names of the live processes that reach all services."""
+        return [
+            member.state.node
+            for member in self.live_members(now_s)
+            if not is_cut_off(member.state)
+        ]
+
     def live_names(self, now_s: float) -> list[str]:
         """Returns the names of the live processes."""
         return [member.state.node for member in self.live_members(now_s)]
@@ -284,3 +296,8 @@
             for member in self.live_members(now_s)
             if member.state.reads_store
         ]
+
+
+def is_cut_off(state: ttypes.MemberState) -> bool:
+    """Returns whether a process states that it is cut off from a service."""
+    return any(item.is_cut_off for item in state.reach or ())
--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -17,6 +17,7 @@
 from dandelionlead.routing import calls
 from dandelionlead.routing import crashes
 from dandelionlead.routing import model
+from dandelionlead.routing import reach
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import scheduling
 
@@ -25,6 +26,10 @@
 # seconds later, after the restart.
 _DELAYS_S = (0.05, 0.4)
 _CONNECT_TIMEOUT_S = 0.3
+# Longest time until it is known whether this process alone has lost its paths
+# to the service, and the pause between two looks at that.
+_MAX_DOUBT_S = 1.5
+_DOUBT_PAUSE_S = 0.1
 # Number of parts of a prompt that are suspected, and length of their ids. Both
 # come from callers, and suspected parts are sent to all peers.
 _MAX_PARTS = 16
@@ -94,12 +99,60 @@
         finally:
             self._endpoint_ids_in_check.discard(endpoint.endpoint_id)
 
+    def record_unreachable(self, endpoint: model.Endpoint) -> None:
+        """Records a failed connection; in the background also a crash.
+
+        Nothing is recorded as a crash if this process has lost its paths to the
+        service.
+        """
+        now_s = clock.boottime()
+        self._scheduler.health_tracker.record_unreachable(
+            endpoint.endpoint_id, now_s
+        )
+        if not self._scheduler.is_reach_in_doubt(endpoint.service, now_s):
+            self._scheduler.record_endpoint_lost(endpoint, now_s)
+        elif endpoint.endpoint_id not in self._endpoint_ids_in_check:
+            self._endpoint_ids_in_check.add(endpoint.endpoint_id)
+            eventlet.spawn_n(self._record_lost_unless_cut_off, endpoint)
+
+    def _record_lost_unless_cut_off(self, endpoint: model.Endpoint) -> None:
+        try:
+            if not self._has_lost_path(endpoint):
+                self._scheduler.record_endpoint_lost(endpoint, clock.boottime())
+        finally:
+            self._endpoint_ids_in_check.discard(endpoint.endpoint_id)
+
+    def _has_lost_path(self, endpoint: model.Endpoint) -> bool:
+        """Returns whether only this process does not reach an endpoint.
+
+        Waits while this is in doubt; then the endpoint counts as crashed.
+        """
+        deadline_s = clock.boottime() + _MAX_DOUBT_S
+        while True:
+            now_s = clock.boottime()
+            state = self._scheduler.assess_reach(endpoint.service, now_s)
+            if state is reach.Reach.CUT_OFF:
+                return True
+            if now_s >= deadline_s or not self._scheduler.is_reach_in_doubt(
+                endpoint.service, now_s
+            ):
+                return False
+            eventlet.sleep(_DOUBT_PAUSE_S)
+
     def _record_if_crashed(self, endpoint: model.Endpoint) -> bool:
-        """Records a crash and returns True if a connection attempt fails."""
+        """Records a crash and returns True if a connection attempt fails.
+
+        It is no crash if this process has lost its paths to the service.
+        """
         failure = self._connects(endpoint, _CONNECT_TIMEOUT_S)
         if failure is None:
             return False
-        self._scheduler.record_unreachable(endpoint, clock.boottime())
+        self._scheduler.health_tracker.record_unreachable(
+            endpoint.endpoint_id, clock.boottime()
+        )
+        if self._has_lost_path(endpoint):
+            return True
+        self._scheduler.record_endpoint_lost(endpoint, clock.boottime())
         self._log.event(
             "endpoint_crashed",
             endpoint=endpoint.endpoint_id,
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -372,7 +372,7 @@
                 now_s,
             )
         elif failure.kind is errors.Kind.ENDPOINT_UNREACHABLE:
-            deps.scheduler.record_unreachable(endpoint, now_s)
+            deps.crash_detector.record_unreachable(endpoint)
         else:
             deps.scheduler.health_tracker.record_unreachable(
                 endpoint.endpoint_id, now_s
@@ -383,9 +383,12 @@
             self._record_begun_if_plain(run)
         self.progress.end_attempt(failure.run_state)
         took_s = now_s - run.sent_s
-        deps.scheduler.record_outcome(
-            endpoint, self._admitted.route.name, took_s, failed=True
-        )
+        # What fails for the paths of this process alone is no evidence against
+        # the version of the endpoint.
+        if not deps.scheduler.is_unreached(endpoint.service, now_s):
+            deps.scheduler.record_outcome(
+                endpoint, self._admitted.route.name, took_s, failed=True
+            )
         deps.log.event(
             "attempt_failed",
             req=self._call.request_id,
--- a/libs/gateway/src/dandelionlead/gateway/peer_state.py
+++ b/libs/gateway/src/dandelionlead/gateway/peer_state.py
@@ -417,7 +417,13 @@
     def _update_sent_evidence(self, now_s: float) -> dict[str, health.Evidence]:
         """Returns the evidence to send, the last one unless it has changed."""
         tracker = self._process_state.scheduler.health_tracker
-        present = tracker.get_reportable_evidence(now_s)
+        present = {
+            endpoint_id: evidence
+            for endpoint_id, evidence in (
+                tracker.get_reportable_evidence(now_s).items()
+            )
+            if not self._is_path_fault(endpoint_id)
+        }
         sent = self._sent_evidence
         if present.keys() != sent.keys() or any(
             abs(evidence.failures - sent[endpoint_id].failures)
@@ -427,6 +433,18 @@
             self._sent_evidence = present
         return self._sent_evidence
 
+    def _is_path_fault(self, endpoint_id: str) -> bool:
+        """Whether failures at an endpoint may be those of the paths to it.
+
+        A process that reaches no endpoint of a service tells its peers nothing
+        about single ones: either it is cut off, or they fail there, too.
+        """
+        state = self._process_state
+        endpoint = state.view.endpoints.get(endpoint_id)
+        return endpoint is not None and (
+            state.scheduler.reach_statements.is_unreached(endpoint.service)
+        )
+
     def _encode_version_counts(self) -> list[ttypes.VersionCount]:
         """Returns this process's call counts for rollouts without a verdict."""
         return [
--- a/libs/gateway/src/dandelionlead/gateway/reach_probing.py
+++ b/libs/gateway/src/dandelionlead/gateway/reach_probing.py
@@ -9,6 +9,7 @@
 
 import random
 from collections.abc import Callable
+from collections.abc import Collection
 
 import eventlet
 
@@ -95,7 +96,7 @@
         self._scheduler.reach_tracker.record_reached(
             endpoint.endpoint_id, clock.boottime()
         )
-        if self._is_running:
+        if self._scheduler.reach_statements.is_unreached(endpoint.service):
             self._update()
 
     def handle_failed(self, endpoint: model.Endpoint) -> None:
@@ -118,6 +119,11 @@
             self._is_running = True
             eventlet.spawn_n(self._run)
 
+    def retain(self, endpoint_ids: Collection[str]) -> None:
+        """Removes what is held of endpoints that are not in the set."""
+        for endpoint_id in self._probed_s.keys() - set(endpoint_ids):
+            del self._probed_s[endpoint_id]
+
     def _run(self) -> None:
         """Probes in turns until no service is in doubt here or at a peer."""
         try:
--- a/libs/routing/src/dandelionlead/routing/reach_statements.py
+++ b/libs/routing/src/dandelionlead/routing/reach_statements.py
@@ -76,6 +76,16 @@
         """Whether this process is cut off from any service."""
         return any(item.is_cut_off for item in self._statements.values())
 
+    def is_unreached(self, service: str) -> bool:
+        """Whether this process states that it does not reach a service."""
+        statement = self._statements.get(service)
+        return statement is not None and statement.is_unreached
+
+    def is_cut_off_from(self, service: str) -> bool:
+        """Whether this process states that it is cut off from a service."""
+        statement = self._statements.get(service)
+        return statement is not None and statement.is_cut_off
+
     def get_asked_since_s(self, service: str) -> float | None:
         """Returns since when peers ask who reaches a service; None if none."""
         return self._asked_since_s.get(service)
