--- a/libs/gateway/src/dandelionlead/gateway/call_relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_relay.py
@@ -11,7 +11,6 @@
 import enum
 import json
 import random
-import typing
 from collections.abc import Collection
 from collections.abc import Iterator
 
@@ -30,6 +29,7 @@
 from dandelionlead.http import limits
 from dandelionlead.http import server
 from dandelionlead.routing import calls
+from dandelionlead.routing import reach
 from dandelionlead.routing import routing_view
 
 METRIC = "relayed_calls_total"
@@ -73,34 +73,6 @@
     NO_ROOM = "no_room"
 
 
-class ReachView(typing.Protocol):
-    """Which processes reach the endpoints of a service."""
-
-    def is_cut_off(
-        self, service: str, endpoint_ids: Collection[str], now_s: float
-    ) -> bool:
-        """Returns whether only this process reaches no endpoint."""
-
-    def list_reaching_peers(self, service: str, now_s: float) -> list[str]:
-        """Returns the node names of live peers that reach the service."""
-
-
-class UnknownReach:
-    """States that this process reaches everything."""
-
-    def is_cut_off(
-        self, service: str, endpoint_ids: Collection[str], now_s: float
-    ) -> bool:
-        """Returns False."""
-        del service, endpoint_ids, now_s
-        return False
-
-    def list_reaching_peers(self, service: str, now_s: float) -> list[str]:
-        """Returns no peer."""
-        del service, now_s
-        return []
-
-
 class Peer:
     """A peer that a call can be sent to.
 
@@ -124,7 +96,7 @@
     """Chooses the peers that calls are sent to, and bounds the calls of each.
 
     Args:
-        reach: Which processes reach the endpoints of a service.
+        reach_tracker: Which processes reach the endpoints of a service.
         view: Holds the endpoints.
         peer_roster: Holds the live peers.
         zone: Availability zone of this process.
@@ -133,14 +105,14 @@
         rng: Random numbers for the choice of peers.
 
     Attributes:
-        reach: As passed to the constructor.
+        reach: Which processes reach the endpoints of a service.
         open_calls: Number of calls that each peer serves at present, by node
             name.
     """
 
     def __init__(
         self,
-        reach: ReachView,
+        reach_tracker: reach.ReachTracker,
         view: routing_view.RoutingView,
         peer_roster: roster.Roster,
         zone: str,
@@ -148,7 +120,7 @@
         rng: random.Random,
     ) -> None:
         self.open_calls: dict[str, int] = {}
-        self.reach = reach
+        self.reach = reach_tracker
         self._view = view
         self._roster = peer_roster
         self._zone = zone
@@ -161,7 +133,7 @@
         """Returns whether this process has lost its paths to a service."""
         endpoint_ids = [
             endpoint.endpoint_id
-            for endpoint in self._view.list_open_endpoints(service)
+            for endpoint in self._view.list_service_endpoints(service)
         ]
         return bool(endpoint_ids) and self.reach.is_cut_off(
             service, endpoint_ids, clock.boottime()
--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import abc
 import typing
 from collections.abc import Callable
 from collections.abc import Collection
@@ -10,6 +11,7 @@
 from dandelionlead.core import errors
 from dandelionlead.http import client
 from dandelionlead.http import intake
+from dandelionlead.routing import model
 
 # A connection can permanently stop delivering data without being closed.
 # Connections older than this are closed instead of being reused.
@@ -29,6 +31,32 @@
 _DROPPED_IDLE_FRACTION = 0.5
 _MIN_IDLE_LIMIT_S = 0.05
 CONNECT_TIMEOUT_S = 0.5
+# A failure to connect within less time may be that of a call whose deadline is
+# near, and does not count as a failed connection.
+_MIN_TELLING_TIMEOUT_S = 0.2
+
+# Opens a connection to an address within some seconds; the bodies that it reads
+# are counted by the given intake, or by an account of its own.
+Connector = Callable[
+    [tuple[str, int], float, intake.Intake | None],
+    client.ClientConnection | errors.Failure,
+]
+
+
+class ConnectionListener(abc.ABC):
+    """Is told which new connections could be opened."""
+
+    @abc.abstractmethod
+    def handle_opened(self, endpoint: model.Endpoint) -> None:
+        """A new connection to an endpoint was opened."""
+
+    @abc.abstractmethod
+    def handle_failed(self, endpoint: model.Endpoint) -> None:
+        """A new connection to an endpoint could not be opened."""
+
+    @abc.abstractmethod
+    def handle_silent(self, endpoint: model.Endpoint) -> None:
+        """A request on a pooled connection got no response in time."""
 
 
 class Destination(typing.Protocol):
@@ -55,6 +83,11 @@
             be idle.
         memory: Counts the bodies that all connections read; None for an account
             of each.
+
+    Attributes:
+        connector: Opens all connections to endpoints. Tests replace it to cut
+            the paths of one process.
+        listener: Is told which connections could be opened; None for nobody.
     """
 
     def __init__(
@@ -62,6 +95,8 @@
         get_share: Callable[[Destination], int],
         memory: intake.Intake | None = None,
     ) -> None:
+        self.connector: Connector = client.connect
+        self.listener: ConnectionListener | None = None
         self._get_share = get_share
         self._memory = memory
         self._idle_conns: dict[str, list[client.ClientConnection]] = {}
@@ -103,9 +138,40 @@
                 conn.idle_before_request_s = now_s - conn.idle_since_s
                 return conn
             conn.close()
-        return client.connect(
-            endpoint.address, min(CONNECT_TIMEOUT_S, timeout_s), self._memory
-        )
+        return self._open(endpoint, min(CONNECT_TIMEOUT_S, timeout_s))
+
+    def try_connect(
+        self, endpoint: model.Endpoint, timeout_s: float
+    ) -> errors.Failure | None:
+        """Opens a connection, closes it, and returns why it failed, or None.
+
+        Args:
+            endpoint: The endpoint to connect to.
+            timeout_s: Longest time for opening the connection, in seconds.
+        """
+        conn = self._open(endpoint, timeout_s)
+        if isinstance(conn, errors.Failure):
+            return conn
+        conn.close()
+        return None
+
+    def _open(
+        self, endpoint: model.Endpoint, timeout_s: float
+    ) -> client.ClientConnection | errors.Failure:
+        """Opens a connection to an endpoint."""
+        conn = self.connector(endpoint.address, timeout_s, self._memory)
+        if self.listener is None:
+            return conn
+        if not isinstance(conn, errors.Failure):
+            self.listener.handle_opened(endpoint)
+        elif timeout_s >= _MIN_TELLING_TIMEOUT_S:
+            self.listener.handle_failed(endpoint)
+        return conn
+
+    def note_silent(self, endpoint: model.Endpoint) -> None:
+        """Notes that a request on a pooled connection got no response."""
+        if self.listener is not None:
+            self.listener.handle_silent(endpoint)
 
     def release(
         self, endpoint: Destination, conn: client.ClientConnection
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -105,7 +105,7 @@
         self.call_reporter = call_reporter
         self.serving_state = serving_state
         self.crash_detector = crash_detection.CrashDetector(
-            scheduler, view, log
+            scheduler, view, log, sender.try_connect
         )
         self.endpoint_finder = endpoint_finder.EndpointFinder(
             scheduler, serving_state
@@ -458,7 +458,7 @@
                 now_s,
             )
         elif failure.kind is errors.Kind.ENDPOINT_UNREACHABLE:
-            deps.scheduler.record_unreachable(endpoint, now_s)
+            deps.crash_detector.record_unreachable(endpoint)
         else:
             deps.scheduler.health_tracker.record_unreachable(
                 endpoint.endpoint_id, now_s
@@ -469,9 +469,12 @@
             self._record_begun_if_plain(run)
         self.progress.end_attempt(failure.run_state)
         took_s = now_s - run.sent_s
-        deps.scheduler.record_outcome(
-            endpoint, self._admitted.route.name, took_s, failed=True
-        )
+        # What fails for the paths of this process alone is no evidence against
+        # the version of the endpoint.
+        if not deps.scheduler.is_unreached(endpoint.service, now_s):
+            deps.scheduler.record_outcome(
+                endpoint, self._admitted.route.name, took_s, failed=True
+            )
         deps.log.event(
             "attempt_failed",
             req=self._call.request_id,
@@ -536,7 +539,9 @@
             self._response_writer,
             self._crashes,
             self.progress,
-            attempt_limit.AttemptLimit(self.progress, deps.view),
+            attempt_limit.AttemptLimit(
+                self.progress, deps.view, deps.sender.try_connect
+            ),
         )
         self._status = response.head.status
         self._outcome = stream_relay.outcome
