Wait shortly before a call is refused while it is in doubt who is cut off

Such a call now waits up to 0.8 s after the first failed connection. Calls of a service that is down for longer are refused at once as before.

--- a/libs/gateway/src/dandelionlead/gateway/call_relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_relay.py
@@ -14,6 +14,8 @@
 from collections.abc import Collection
 from collections.abc import Iterator
 
+import eventlet
+
 from dandelionlead.cluster import roster
 from dandelionlead.core import clock
 from dandelionlead.core import errors
@@ -41,6 +43,12 @@
 _CONNECT_TIMEOUT_S = 0.25
 # A peer that did not accept a call is the last choice for this time.
 _AVOIDANCE_S = 1.0
+# After the first failed connection to a service, it is known within this time
+# whether peers reach the service.
+_MAX_DOUBT_S = 0.8
+_DOUBT_PAUSE_S = 0.02
+# A call whose deadline is nearer than this waits for nothing.
+_MIN_REMAINING_S = 0.1
 # The peer's response to a call whose deadline has passed arrives within this
 # time after the deadline.
 _RESPONSE_MARGIN_S = 0.25
@@ -131,14 +139,29 @@
 
     def is_cut_off(self, service: str) -> bool:
         """Returns whether this process has lost its paths to a service."""
-        endpoint_ids = [
-            endpoint.endpoint_id
-            for endpoint in self._view.list_service_endpoints(service)
-        ]
+        endpoint_ids = self._list_endpoint_ids(service)
         return bool(endpoint_ids) and self.reach.is_cut_off(
             service, endpoint_ids, clock.boottime()
         )
 
+    def get_doubt_end_s(self, service: str) -> float:
+        """Returns until when it may turn out that this process is cut off.
+
+        In seconds of `clock.boottime`; minus infinity if there is no doubt. A
+        service that has failed for longer is down for all, as far as peers say.
+        """
+        now_s = clock.boottime()
+        since_s = self.reach.get_in_doubt_since_s(
+            self._list_endpoint_ids(service), now_s
+        )
+        return since_s + _MAX_DOUBT_S if since_s <= now_s else float("-inf")
+
+    def _list_endpoint_ids(self, service: str) -> list[str]:
+        return [
+            endpoint.endpoint_id
+            for endpoint in self._view.list_service_endpoints(service)
+        ]
+
     def list_peers(self, service: str) -> list[Peer]:
         """Returns the peers that a call to a service can be passed on to.
 
@@ -271,6 +294,26 @@
         """Returns whether calls to a service are passed on to peers now."""
         return self.is_cut_off(service) and bool(self.peers.list_peers(service))
 
+    def await_relay(self, service: str, deadline_s: float) -> bool:
+        """Waits while it is in doubt whether this process is cut off.
+
+        The wait is short: a call that nobody can serve is refused soon.
+
+        Args:
+            service: Name of the service.
+            deadline_s: Deadline of the call, in seconds.
+
+        Returns:
+            Whether calls to the service are passed on to peers now.
+        """
+        deadline_s -= _MIN_REMAINING_S
+        while not self.should_relay(service):
+            end_s = min(deadline_s, self.peers.get_doubt_end_s(service))
+            if clock.boottime() >= end_s:
+                return False
+            eventlet.sleep(_DOUBT_PAUSE_S)
+        return True
+
     def count(self, outcome: Outcome) -> None:
         """Counts the end of an attempt to pass a call on."""
         name = outcome.value
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -255,7 +255,9 @@
             if self._may_relay_after_failure() and self._should_relay():
                 return self._relay_to_peer()
             if not self._may_try_again():
-                return False
+                break
+        if self._may_relay_after_failure() and self._await_relay():
+            return self._relay_to_peer()
         return False
 
     def _is_out_of_reach(self) -> bool:
@@ -286,6 +288,21 @@
             and passes_on.should_relay(self._admitted.service.name)
         )
 
+    def _await_relay(self) -> bool:
+        """Returns whether the call is passed on, once that is known.
+
+        The first calls after a cut fail before the peers have said that they
+        reach the service.
+        """
+        passes_on = self._deps.call_relay
+        return (
+            self._origin is None
+            and passes_on is not None
+            and passes_on.await_relay(
+                self._admitted.service.name, self._admitted.deadline_s
+            )
+        )
+
     def _may_relay_after_failure(self) -> bool:
         """Returns whether a peer may run the call after a failed attempt."""
         failure = self._failure
--- a/libs/gateway/tests/test_call_relay.py
+++ b/libs/gateway/tests/test_call_relay.py
@@ -5,6 +5,7 @@
 import collections
 import random
 import unittest
+from collections.abc import Collection
 from unittest import mock
 
 from dandelionlead.cluster import roster
@@ -23,6 +24,7 @@
     def __init__(self) -> None:
         self.is_cut = True
         self.peers: list[str] = []
+        self.in_doubt_since_s = float("inf")
 
     def is_cut_off(
         self, service: str, endpoint_ids: list[str], now_s: float
@@ -30,6 +32,12 @@
         del service, now_s
         return self.is_cut and bool(endpoint_ids)
 
+    def get_in_doubt_since_s(
+        self, endpoint_ids: Collection[str], now_s: float
+    ) -> float:
+        del endpoint_ids, now_s
+        return self.in_doubt_since_s
+
     def list_reaching_peers(self, service: str, now_s: float) -> list[str]:
         del service, now_s
         return self.peers
