--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -88,6 +88,8 @@
         self._memory = memory
         self._idle_conns: dict[str, list[client.ClientConnection]] = {}
         self._idle_limits_s: dict[str, float] = {}
+        # Times in seconds of the last complete responses, by endpoint id.
+        self._responded_s: dict[str, float] = {}
 
     def acquire(
         self,
@@ -155,6 +157,10 @@
             self.listener.handle_failed(endpoint)
         return conn
 
+    def get_last_response_s(self, endpoint_id: str) -> float:
+        """Returns when an endpoint last responded, in seconds."""
+        return self._responded_s.get(endpoint_id, float("-inf"))
+
     def note_silent(self, endpoint: model.Endpoint) -> None:
         """Notes that a request on a pooled connection got no response."""
         if self.listener is not None:
@@ -188,6 +194,7 @@
             endpoint: The endpoint that the connection leads to.
             conn: The connection.
         """
+        self._responded_s[endpoint.endpoint_id] = clock.boottime()
         idle_conns = self._idle_conns.setdefault(endpoint.endpoint_id, [])
         max_idle_conns = min(
             MAX_IDLE_CONNS_PER_ENDPOINT, self._get_share(endpoint) // 2
@@ -222,6 +229,8 @@
         now_s = clock.boottime()
         for removed_id in set(self._idle_limits_s) - set(endpoint_ids):
             del self._idle_limits_s[removed_id]
+        for removed_id in set(self._responded_s) - set(endpoint_ids):
+            del self._responded_s[removed_id]
         for endpoint_id, idle_conns in list(self._idle_conns.items()):
             usable_conns = []
             for conn in idle_conns:
--- a/libs/gateway/src/dandelionlead/gateway/peer_state.py
+++ b/libs/gateway/src/dandelionlead/gateway/peer_state.py
@@ -393,6 +393,8 @@
             state.node,
             [item.service_name for item in items if item.is_unreached],
         )
+        if items:
+            tracker.peer_listener()
 
     def _encode_reach(self, now_s: float) -> list[ttypes.ServiceReach]:
         """Returns what this process states of its reach.
--- a/libs/gateway/src/dandelionlead/gateway/reach_probing.py
+++ b/libs/gateway/src/dandelionlead/gateway/reach_probing.py
@@ -26,7 +26,7 @@
 from dandelionlead.routing import scheduling
 
 PROBES_METRIC = "reach_probes_total"
-_TURN_INTERVAL_S = 0.25
+_TURN_INTERVAL_S = 0.15
 _PROBE_TIMEOUT_S = 0.3
 # Number of endpoints that are probed at the first failure, and in each further
 # turn. The first is enough to find that one endpoint alone is down.
@@ -37,6 +37,8 @@
 _PROBE_INTERVAL_S = 0.4
 _SLOW_PROBE_INTERVAL_S = 2.0
 _SLOW_AFTER_S = 3.0
+# A response of the service within this time shows that its paths are open.
+_RECENT_RESPONSE_S = 1.0
 # For peers, a service is probed if its last connection is older than this.
 _MAX_ANSWER_AGE_S = 0.8
 # Number of processes that answer each peer that does not reach a service. All
@@ -88,7 +90,7 @@
         self._in_doubt_since_s: dict[str, float] = {}
         # Reach that was last logged, by name of the service.
         self._logged: dict[str, reach.Reach] = {}
-        scheduler.reach_tracker.doubt_listener = self.start
+        scheduler.reach_tracker.peer_listener = self._handle_peer_statement
         pool.listener = self
 
     def handle_opened(self, endpoint: model.Endpoint) -> None:
@@ -109,10 +111,28 @@
         self.start()
 
     def handle_silent(self, endpoint: model.Endpoint) -> None:
-        """Probes an endpoint that did not respond on a pooled connection."""
-        if self._is_due(endpoint.endpoint_id, _PROBE_INTERVAL_S):
+        """Probes an endpoint that did not respond on a pooled connection.
+
+        The endpoint alone is slow if others of its service have just responded.
+        """
+        now_s = clock.boottime()
+        has_response = any(
+            now_s - self._pool.get_last_response_s(other.endpoint_id)
+            < _RECENT_RESPONSE_S
+            for other in self._view.list_service_endpoints(endpoint.service)
+        )
+        if not has_response and self._is_due(
+            endpoint.endpoint_id, _PROBE_INTERVAL_S
+        ):
             self._spawn_probe(endpoint)
 
+    def _handle_peer_statement(self) -> None:
+        """Answers a peer, or takes the answer of a peer into account."""
+        if self._is_running:
+            self._update()
+        else:
+            self.start()
+
     def start(self) -> None:
         """Starts the turns in the background, unless they run already."""
         if not self._is_running:
--- a/libs/routing/src/dandelionlead/routing/reach.py
+++ b/libs/routing/src/dandelionlead/routing/reach.py
@@ -80,12 +80,12 @@
     """Connections of this process to endpoints, and what peers reach.
 
     Attributes:
-        doubt_listener: Called when a peer states that it does not reach a
-            service.
+        peer_listener: Called when a peer has stated which services it reaches
+            or does not reach.
     """
 
     def __init__(self) -> None:
-        self.doubt_listener: Callable[[], None] = lambda: None
+        self.peer_listener: Callable[[], None] = lambda: None
         # By endpoint id.
         self._records: dict[str, _Record] = {}
         # Times in seconds at which peers reached services, by name of the
@@ -131,7 +131,6 @@
         """Replaces the services that a peer states not to reach."""
         if services:
             self._peer_doubts[peer_name] = frozenset(services)
-            self.doubt_listener()
         else:
             self._peer_doubts.pop(peer_name, None)
 
