--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -153,6 +153,8 @@
         failure: errors.Failure,
     ) -> None:
         """Lowers an endpoint's idle limit if a reused connection broke."""
+        if failure.kind is errors.Kind.ENDPOINT_SILENT and conn.is_reused:
+            self._pool.note_silent(endpoint)
         is_broken = failure.kind is errors.Kind.ENDPOINT_FAILED
         if is_broken and conn.idle_before_request_s:
             self._pool.lower_idle_limit(endpoint, conn.idle_before_request_s)
@@ -172,6 +174,12 @@
         response.is_pooled = True
         self._pool.release(response.endpoint, response.conn)
 
+    def try_connect(
+        self, endpoint: model.Endpoint, timeout_s: float
+    ) -> errors.Failure | None:
+        """Opens a connection, closes it, and returns why it failed, or None."""
+        return self._pool.try_connect(endpoint, timeout_s)
+
     def find_broken_end(
         self,
         response: EndpointResponse,
