Doubt a marked end of a stream that a final copy may have stopped

What callers could get: a stream of 16 of 100 events that looks complete. No engine crashes: this process asks the engine to stop the run for its migration, and the engine's HTTP server ends the stopped stream with a last chunk (ORDER). Found by an independent review; it fits the operator's record (in chunks, one engine, nothing logged) better than a crash, but nothing proves that it was the cause there.

Cause: the relay asked about the stop only for bodies without a length.

Change: a stream with an end mark is doubted too if the engine says that it stopped the run, or if the answer was still outstanding at the end and does not deny it. A stream that went on after an unclear answer was not stopped by it. The stream goes on at the engine that has the copy.

Two rows of test_migrations.StoppedStreamTest said that a marked end counts although the engine states that it stopped the run, or does not answer; both are replaced by their opposite, with four more rows.

--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -287,24 +287,16 @@
         """Returns why a response that ended is incomplete; None if it is not.
 
         A body that ends with the connection also ends so if the engine crashes,
-        or if the final copy for a migration stops the run. Once the final copy
-        was requested, such a body is complete only if the engine states that it
-        did not stop the run.
+        or if the final copy for a migration stops the run.
         """
         ends_with_connection = ended_response.head.ends_with_connection
         failure = self._stream_checks.find_truncation(
             ends_with_connection=ends_with_connection
         )
+        if failure is None:
+            failure = self._find_stop(has_end_mark=not ends_with_connection)
         if failure is not None:
             return failure
-        if ends_with_connection and self._run.stop_event is not None:
-            stop_result = self._resumption.await_stop()
-            if stop_result is not runs.StopResult.NOT_STOPPED:
-                return errors.Failure(
-                    errors.Kind.ENDPOINT_FAILED,
-                    "the run may have been stopped to migrate it:"
-                    f" {stop_result.value}",
-                )
         return self._sender.find_broken_end(
             ended_response,
             self._run.admitted,
@@ -312,6 +304,34 @@
             is_leaving=self._scheduler.is_leaving(ended_response.endpoint),
         )
 
+    def _find_stop(self, *, has_end_mark: bool) -> errors.Failure | None:
+        """Returns why the final copy may have ended the stream, or None.
+
+        Once the final copy was requested, a stream without an end mark is
+        complete only if the engine states that it did not stop the run. The
+        HTTP server of an engine may mark the end of a stopped stream, too.
+
+        Args:
+            has_end_mark: Whether the stream itself marked its end.
+        """
+        run = self._run
+        if run.stop_event is None:
+            return None
+        was_pending = run.is_stop_pending
+        stop_result = self._resumption.await_stop()
+        believed = {runs.StopResult.NOT_STOPPED}
+        if has_end_mark:
+            believed.add(runs.StopResult.UNREACHABLE)
+            if not was_pending:
+                # The stream went on after the engine's unclear response.
+                believed.add(runs.StopResult.UNKNOWN)
+        if stop_result in believed:
+            return None
+        return errors.Failure(
+            errors.Kind.ENDPOINT_FAILED,
+            f"the run may have been stopped to migrate it: {stop_result.value}",
+        )
+
     def _count_arrived_events(self) -> int:
         """Returns how many events of the generation have arrived.
 
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -813,8 +813,13 @@
             (result.UNKNOWN, 0.0, True, False),
             (result.STOPPED, 1.2, True, False),
             (result.NOT_STOPPED, 1.2, True, False),
-            (result.STOPPED, 0.02, False, True),
-            (result.UNKNOWN, 0.02, False, True),
+            (result.UNREACHABLE, 0.02, True, False),
+            # The HTTP server of an engine may end a stopped stream in order.
+            (result.STOPPED, 0.02, False, False),
+            (result.STOPPED, 1.2, False, False),
+            (result.UNKNOWN, 0.02, False, False),
+            (result.NOT_STOPPED, 0.02, False, True),
+            (result.UNREACHABLE, 0.02, False, True),
         )
         for stop_result, delay_s, ends_with_connection, is_complete in cases:
             with self.subTest(
