Take only an endpoint's own status as evidence for the end of its response

Callers could still get a cut stream as complete: if the engine refused the report (429, 503) or sent an empty one, if a forwarder answered 200 for a plain worker's health, if the engine went on listing the run until the end of the check, or if it was leaving, which left it unasked. And sound answers suffered: a caller with 0.4 s left waited 0.9 s for the check, a response to HEAD without a length became 502, and a stream was cut when its engine rejected connections for 0.4 s.

Change: an engine must send a report; a plain worker must name its id or state that it did not run the request. A run that stays listed is not ended, whoever marked the end. A leaving engine is asked like any other: a server that shuts down is where unfinished streams get a last chunk. The check ends with the deadline of its call; requests that are accepted and then fail are repeated for 0.75 s, refused ones three times as before; HEAD has no body to check.

--- a/libs/gateway/src/dandelionlead/gateway/end_check.py
+++ b/libs/gateway/src/dandelionlead/gateway/end_check.py
@@ -1,10 +1,10 @@
-"""Checks whether the body of a response that has ended is complete.
+"""Checks with an endpoint whether it lives and has ended a run.
 
 A process that crashes ends its responses in order: the kernel closes its
 connections, and its HTTP server or a forwarder before it may even send a last
 chunk. That something accepts a connection at its address proves nothing: a
 forwarder, an inherited listening socket and a paused process accept too.
-Therefore the endpoint itself is asked, after the end of the body.
+Therefore the endpoint itself is asked.
 """
 
 from __future__ import annotations
@@ -19,29 +19,45 @@
 from dandelionlead.core import events
 from dandelionlead.routing import calls
 
-# Longest time for one answer, and for the whole check.
-ANSWER_TIMEOUT_S = 0.5
+# Longest time for the first answer, over a connection of the pool, and for all
+# answers.
+FIRST_ANSWER_TIMEOUT_S = 0.5
 _MAX_CHECK_S = 1.5
-# Requests that may fail. The first one may take a pooled connection, which the
-# endpoint may have dropped; one that opens a connection may be lost, or be
-# reset by an endpoint that has too many.
-_MAX_FAILED_REQUESTS = 3
-_RETRY_PAUSE_S = 0.05
+# Pauses after requests that failed: an endpoint closes connections beyond its
+# limit and has room again shortly after.
+_FAILED_PAUSES_S = (0.05, 0.1, 0.2, 0.4)
+# Connections that are refused in a row from which no further one is tried:
+# nothing listens for a dead process.
+_MAX_REFUSED = 3
 # Reports are some hundred milliseconds old, and may still list a run.
 _STALE_REPORT_PAUSE_S = 0.1
 
 
-class _Evidence(enum.Enum):
-    """What one answer, or its absence, shows about a response."""
+class Evidence(enum.Enum):
+    """What an endpoint's answers, or their absence, show.
 
-    COMPLETE = "the endpoint has ended the run"
-    TRUNCATED = "the endpoint goes on with the run"
+    Attributes:
+        ENDED: It answers for itself and has ended the run.
+        TRUNCATED: It has made more events than have arrived.
+        RUNNING: It still lists the run.
+        OTHER_START: Another endpoint or a later start has its address.
+        GONE: Nothing answers in its name.
+        SILENT: No answer arrived in time.
+    """
+
+    ENDED = "the endpoint has ended the run"
+    TRUNCATED = "the endpoint has made more events"
     RUNNING = "the endpoint still lists the run"
     OTHER_START = "another endpoint or a later start has the address"
     GONE = "the endpoint does not answer for itself"
     SILENT = "the endpoint is silent"
 
 
+# Requests an endpoint's status within some seconds; over a new connection if
+# the first argument is true.
+StatusRequester = Callable[[bool, float], calls.EndpointStatus | errors.Failure]
+
+
 class EndedResponse:
     """A response whose body has ended.
 
@@ -64,7 +80,8 @@
 
 def find_broken_end(
     response: EndedResponse,
-    request_status: Callable[[bool], calls.EndpointStatus | errors.Failure],
+    request_status: StatusRequester,
+    deadline_s: float,
     log: events.Log,
     endpoint_id: str,
 ) -> errors.Failure | None:
@@ -77,16 +94,17 @@
 
     Args:
         response: The response.
-        request_status: Requests the endpoint's status within
-            `ANSWER_TIMEOUT_S`; over a new connection if the argument is true.
+        request_status: Requests the endpoint's status.
+        deadline_s: Deadline of the call, in seconds.
         log: Receives one line.
         endpoint_id: Id of the endpoint, for the log.
     """
     started_s = clock.boottime()
-    evidence, request_count = _collect_evidence(response, request_status)
-    is_complete = evidence is _Evidence.COMPLETE or (
-        response.has_end_mark
-        and evidence in (_Evidence.SILENT, _Evidence.RUNNING)
+    evidence, request_count = collect_evidence(
+        request_status, deadline_s, response.event_count
+    )
+    is_complete = evidence is Evidence.ENDED or (
+        response.has_end_mark and evidence is Evidence.SILENT
     )
     log.event(
         "end_checked",
@@ -106,48 +124,82 @@
     )
 
 
-def _collect_evidence(
-    response: EndedResponse,
-    request_status: Callable[[bool], calls.EndpointStatus | errors.Failure],
-) -> tuple[_Evidence, int]:
-    """Requests the endpoint's status until the answer is clear.
+def collect_evidence(
+    request_status: StatusRequester,
+    deadline_s: float,
+    event_count: int | None = None,
+) -> tuple[Evidence, int]:
+    """Requests an endpoint's status until the answers are clear.
+
+    Args:
+        request_status: Requests the endpoint's status.
+        deadline_s: Latest end of the check, in seconds; it also ends after
+            `_MAX_CHECK_S`.
+        event_count: Number of events of the run that have arrived; None if it
+            does not matter whether the endpoint lists a run.
 
     Returns:
         The last evidence and the number of requests.
     """
-    deadline_s = clock.boottime() + _MAX_CHECK_S
-    request_count = failed_count = 0
+    deadline_s = min(deadline_s, clock.boottime() + _MAX_CHECK_S)
+    evidence = Evidence.SILENT
+    request_count = failed_count = refused_count = 0
     while True:
+        timeout_s = deadline_s - clock.boottime()
+        if timeout_s <= 0:
+            return evidence, request_count
+        if not failed_count:
+            timeout_s = min(timeout_s, FIRST_ANSWER_TIMEOUT_S)
         asked_s = clock.boottime()
-        status = request_status(failed_count > 0)
+        status = request_status(failed_count > 0, timeout_s)
         request_count += 1
-        if isinstance(status, errors.Failure):
-            is_silent = clock.boottime() - asked_s >= ANSWER_TIMEOUT_S
-            evidence = _Evidence.SILENT if is_silent else _Evidence.GONE
-        else:
-            evidence = _judge(response, status)
-        pause_s = _STALE_REPORT_PAUSE_S
-        if evidence in (_Evidence.SILENT, _Evidence.GONE):
-            failed_count += 1
-            pause_s = _RETRY_PAUSE_S
-        elif evidence is not _Evidence.RUNNING:
-            return evidence, request_count
-        if (
-            failed_count >= _MAX_FAILED_REQUESTS
-            or clock.boottime() + pause_s >= deadline_s
+        # Opening a connection has a shorter limit than later answers.
+        is_silent = clock.boottime() - asked_s >= min(
+            timeout_s, FIRST_ANSWER_TIMEOUT_S
+        )
+        evidence = _judge(status, event_count, is_silent=is_silent)
+        refused_count += _is_unreachable(status)
+        if evidence is Evidence.RUNNING:
+            pause_s = _STALE_REPORT_PAUSE_S
+        elif evidence not in (Evidence.GONE, Evidence.SILENT) or (
+            failed_count == len(_FAILED_PAUSES_S)
+            or refused_count == request_count == _MAX_REFUSED
         ):
             return evidence, request_count
-        eventlet.sleep(pause_s)
+        else:
+            pause_s = _FAILED_PAUSES_S[failed_count]
+            failed_count += 1
+        eventlet.sleep(min(pause_s, max(0.0, deadline_s - clock.boottime())))
+
 
+def _is_unreachable(status: calls.EndpointStatus | errors.Failure) -> bool:
+    return (
+        isinstance(status, errors.Failure)
+        and status.kind is errors.Kind.ENDPOINT_UNREACHABLE
+    )
+
+
+def _judge(
+    status: calls.EndpointStatus | errors.Failure,
+    event_count: int | None,
+    *,
+    is_silent: bool,
+) -> Evidence:
+    """Returns what one answer, or its absence, shows.
 
-def _judge(response: EndedResponse, status: calls.EndpointStatus) -> _Evidence:
-    """Returns what an endpoint's status shows about a response."""
+    Args:
+        status: The answer, or why there is none.
+        event_count: Number of events of the run that have arrived, or None.
+        is_silent: Whether the time for the answer has passed.
+    """
+    if isinstance(status, errors.Failure):
+        return Evidence.SILENT if is_silent else Evidence.GONE
     if status.origin is calls.StatusOrigin.OTHER:
-        return _Evidence.OTHER_START
+        return Evidence.OTHER_START
     if status.origin is calls.StatusOrigin.UNKNOWN:
-        return _Evidence.GONE
-    if status.event_count is None or response.event_count is None:
-        return _Evidence.COMPLETE
-    if status.event_count > response.event_count:
-        return _Evidence.TRUNCATED
-    return _Evidence.RUNNING
+        return Evidence.GONE
+    if status.event_count is None or event_count is None:
+        return Evidence.ENDED
+    if status.event_count > event_count:
+        return Evidence.TRUNCATED
+    return Evidence.RUNNING
--- a/libs/gateway/src/dandelionlead/gateway/platform_codec.py
+++ b/libs/gateway/src/dandelionlead/gateway/platform_codec.py
@@ -173,15 +173,12 @@
     @abc.abstractmethod
     def encode_status_request(
         self, endpoint: model.Endpoint, service: model.Service
-    ) -> ControlRequest | None:
+    ) -> ControlRequest:
         """Returns the request for what an endpoint states of itself.
 
         Args:
             endpoint: The endpoint.
             service: Service of the endpoint.
-
-        Returns:
-            The request; None if the service has none.
         """
 
     @abc.abstractmethod
@@ -190,6 +187,7 @@
         head: calls.EndpointResponseHead,
         body: bytes,
         endpoint: model.Endpoint,
+        service: model.Service,
         request_id: str,
     ) -> calls.EndpointStatus:
         """Converts the response to a request for an endpoint's status.
@@ -198,6 +196,7 @@
             head: Head of the response.
             body: Body of the response.
             endpoint: The endpoint that the request was sent to.
+            service: Service of the endpoint.
             request_id: Id of the call whose run is looked for in the response.
         """
 
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -301,7 +301,6 @@
             ended_response,
             self._run.admitted,
             self._count_arrived_events(),
-            is_leaving=self._scheduler.is_leaving(ended_response.endpoint),
         )
 
     def _find_stop(self, *, has_end_mark: bool) -> errors.Failure | None:
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -185,49 +185,33 @@
         response: EndpointResponse,
         admitted: calls.AdmittedCall,
         event_count: int | None = None,
-        *,
-        is_leaving: bool = False,
     ) -> errors.Failure | None:
         """Returns why a body that has ended may be incomplete, or None.
 
         A length or a last chunk is the endpoint's own word. The last chunk of a
         stream is doubted if its connection ends with it, as it does if the HTTP
-        server of a process that crashes, or a forwarder, ends the stream.
+        server of a process that ends, or a forwarder, ends the stream.
 
         Args:
             response: The response; its body has been read to the end.
             admitted: The call.
             event_count: Number of events that have arrived, for a stream; None
                 for any other body.
-            is_leaving: Whether the endpoint is known to be leaving: it may end
-                with its last stream.
         """
         has_end_mark = not response.head.ends_with_connection
-        if has_end_mark and (
-            event_count is None
-            or is_leaving
-            or response.head.is_leaving
-            or not _has_closed(response)
-        ):
+        if has_end_mark and (event_count is None or not _has_closed(response)):
             return None
-        endpoint = response.endpoint
-        request = self._codec.encode_status_request(endpoint, admitted.service)
-        if request is None:
-            return errors.Failure(
-                errors.Kind.ENDPOINT_FAILED,
-                "the connection ended with the body, and its endpoint cannot be"
-                " asked whether the body is complete",
-            )
-        request_id = admitted.call.request_id
+        if admitted.call.method == b"HEAD":
+            return None
+        endpoint, request_id = response.endpoint, admitted.call.request_id
         return end_check.find_broken_end(
             end_check.EndedResponse(
-                request_id,
-                event_count,
-                has_end_mark=has_end_mark,
+                request_id, event_count, has_end_mark=has_end_mark
             ),
             functools.partial(
-                self._request_status, endpoint, request, request_id
+                self._request_status, endpoint, admitted.service, request_id
             ),
+            admitted.deadline_s,
             self._log,
             endpoint.endpoint_id,
         )
@@ -235,21 +219,22 @@
     def _request_status(
         self,
         endpoint: model.Endpoint,
-        request: platform_codec.ControlRequest,
+        service: model.Service,
         request_id: str,
         is_new: bool,
+        timeout_s: float,
     ) -> calls.EndpointStatus | errors.Failure:
         """Requests what an endpoint states of itself and of one run."""
+        request = self._codec.encode_status_request(endpoint, service)
         result = self._exchange_control(
-            endpoint,
-            request,
-            end_check.ANSWER_TIMEOUT_S,
-            end_check.ANSWER_TIMEOUT_S if is_new else None,
+            endpoint, request, timeout_s, timeout_s if is_new else None
         )
         if isinstance(result, errors.Failure):
             return result
         head, body = result
-        return self._codec.decode_status(head, body, endpoint, request_id)
+        return self._codec.decode_status(
+            head, body, endpoint, service, request_id
+        )
 
     def send_control_request(
         self,
--- a/libs/gateway/tests/test_end_check.py
+++ b/libs/gateway/tests/test_end_check.py
@@ -11,6 +11,7 @@
 import eventlet
 import virtual_time
 
+from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.gateway import end_check
@@ -22,6 +23,7 @@
 _OTHER = calls.EndpointStatus(calls.StatusOrigin.OTHER)
 _FOREIGN = calls.EndpointStatus(calls.StatusOrigin.UNKNOWN)
 _CLOSED = errors.Failure(errors.Kind.ENDPOINT_FAILED, "closed")
+_REFUSED = errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "refused")
 _SILENT = errors.Failure(errors.Kind.ENDPOINT_SILENT, "silent")
 
 
@@ -42,28 +44,37 @@
         ((_list_run(4), _list_run(11)), False, False, 2),
         ((_OTHER,), False, False, 1),
         ((_CLOSED, _OTHER), False, False, 2),
-        ((_CLOSED,), False, False, 3),
-        ((_FOREIGN,), False, False, 3),
-        ((_SILENT,), False, True, 3),
-        ((_CLOSED, _SILENT), False, True, 3),
+        # An endpoint that closes too many connections has room again.
+        ((_CLOSED,) * 4 + (_ENDED,), True, True, 5),
+        ((_CLOSED,), False, False, 5),
+        ((_FOREIGN,), False, False, 5),
+        ((_REFUSED,), False, False, 3),
+        ((_REFUSED, _REFUSED, _ENDED), True, True, 3),
+        ((_SILENT,), False, True, 2),
+        ((_CLOSED, _SILENT), False, True, 2),
     )
 
     def _check(
-        self, answers: tuple[object, ...], *, has_end_mark: bool
+        self,
+        answers: tuple[object, ...],
+        *,
+        has_end_mark: bool,
+        remaining_s: float = 5.0,
     ) -> tuple[bool, list[bool]]:
         """Returns whether a body is complete, and which requests were new."""
         are_new: list[bool] = []
 
-        def request_status(is_new: bool) -> object:
+        def request_status(is_new: bool, timeout_s: float) -> object:
             answer = answers[min(len(are_new), len(answers) - 1)]
             are_new.append(is_new)
             if answer is _SILENT:
-                eventlet.sleep(end_check.ANSWER_TIMEOUT_S)
+                eventlet.sleep(timeout_s)
             return answer
 
         failure = end_check.find_broken_end(
             end_check.EndedResponse("r", 10, has_end_mark=has_end_mark),
             request_status,
+            clock.boottime() + remaining_s,
             events.Log("test"),
             "e",
         )
@@ -83,7 +94,7 @@
 
     def test_connection_is_new_after_a_pooled_one_failed(self) -> None:
         for answers, are_new in (
-            ((_CLOSED,), [False, True, True]),
+            ((_CLOSED,), [False, True, True, True, True]),
             (
                 (_list_run(1), _list_run(2), _CLOSED, _ENDED),
                 [False] * 3 + [True],
@@ -97,8 +108,22 @@
     def test_run_that_stays_listed_ends_with_the_time_of_the_check(
         self,
     ) -> None:
-        self.assertFalse(self._check((_list_run(1),), has_end_mark=False)[0])
-        self.assertTrue(self._check((_list_run(1),), has_end_mark=True)[0])
+        for has_end_mark in (False, True):
+            with self.subTest(has_end_mark):
+                started_s = clock.boottime()
+                is_complete, _ = self._check(
+                    (_list_run(1),), has_end_mark=has_end_mark
+                )
+                self.assertFalse(is_complete)
+                self.assertLess(clock.boottime() - started_s, 1.6)
+
+    def test_check_ends_with_the_deadline_of_the_call(self) -> None:
+        """A caller would wait for an answer that it can't use any more."""
+        for answer in (_SILENT, _CLOSED, _list_run(1)):
+            with self.subTest(answer):
+                started_s = clock.boottime()
+                self._check((answer,), has_end_mark=False, remaining_s=0.3)
+                self.assertLessEqual(clock.boottime() - started_s, 0.301)
 
 
 if __name__ == "__main__":
--- a/libs/routing/src/dandelionlead/routing/model.py
+++ b/libs/routing/src/dandelionlead/routing/model.py
@@ -149,8 +149,7 @@
         cold_requests_per_s: Requests per second that a cold endpoint can handle
             from all processes together; 0 means no limit.
         engine: Capacity of the model engines; None for a plain service.
-        health_path: Path at which an endpoint states whether it is healthy;
-            empty if none is configured.
+        health_path: Path at which an endpoint states whether it is healthy.
     """
 
     __slots__ = (
@@ -167,7 +166,7 @@
         max_connections: int,
         cold_requests_per_s: float,
         engine: EngineSpec | None,
-        health_path: str = "",
+        health_path: str = "/health",
     ) -> None:
         self.name = name
         self.max_connections = max_connections
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -266,10 +266,6 @@
         """Whether a service has an endpoint that may receive work."""
         return bool(self._view.list_open_endpoints(service))
 
-    def is_leaving(self, endpoint: model.Endpoint) -> bool:
-        """Whether an endpoint is leaving or has no entry."""
-        return self._view.is_leaving(endpoint.endpoint_id)
-
     def compute_mean_fill(self, service: model.Service, now_s: float) -> float:
         """Returns the fraction of all open engines' memory that is reserved.
 
