Reset the connection of a cut response to a caller of HTTP/1.0

Such a caller gets no chunks: the orderly end of the connection is the end of the body, so that a stream that was cut short looked whole (ORDER). The connection is reset instead. Callers of HTTP/1.1 are served as before: they miss the last chunk. A process that is killed still ends in order there.

--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -47,7 +47,7 @@
 _TCP_KEEPALIVE_INTERVAL_S = 1
 _TCP_KEEPALIVE_PROBES = 3
 # SO_LINGER with a timeout of 0 s: closing sends a TCP reset.
-_LINGER_RESET = struct.pack("ii", 1, 0)
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 # Header names and values, in the order in which they are on the wire.
 Headers = list[tuple[bytes, bytes]]
@@ -485,7 +485,7 @@
         with contextlib.suppress(OSError):
             if self._awaits_response():
                 self._sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
                 )
         with contextlib.suppress(OSError):
             self._sock.close()
--- a/libs/http/src/dandelionlead/http/server.py
+++ b/libs/http/src/dandelionlead/http/server.py
@@ -287,8 +287,19 @@
             self.close()
 
     def close(self) -> None:
-        """Closes the socket."""
+        """Closes the socket.
+
+        To a caller of HTTP/1.0 the orderly end of the connection is the end of
+        a body without a length. One that was cut short is reset.
+        """
         with contextlib.suppress(OSError):
+            if (
+                self._http.our_state is h11.SEND_BODY
+                and self._http.their_http_version == b"1.0"
+            ):
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, client.LINGER_RESET
+                )
             self._sock.close()
 
     def close_if_idle(self) -> None:
