Count an endpoint as lost if nothing answers in its name

What callers saw: where the address of a crashed engine still accepts, a cut stream stayed cut at the limit of attempts of its route, though the engine was gone; this is why none of the users' cut streams went on elsewhere.

Cause: the same as for the ends of responses: AttemptLimit and CrashDetector took an accepted connection for a living endpoint.

Change: both ask the endpoint for its status over the connection (`Sender.find_absence`). Silence is no evidence of a crash.

Of the related places, run_stopping takes a status as the engine's answer without checking who sent it; open.

--- a/libs/gateway/src/dandelionlead/gateway/attempt_limit.py
+++ b/libs/gateway/src/dandelionlead/gateway/attempt_limit.py
@@ -21,24 +21,27 @@
     Args:
         progress: Holds the endpoints that may have run the call.
         view: Holds the entries of the endpoints and which of them are leaving.
-        connects: Returns why no connection to an endpoint can be opened within
-            some seconds, or None. It is called only if the endpoint decides
-            whether the limit is reached.
+        find_absence: Returns why an endpoint of a service has ended or cannot
+            be reached within some seconds, or None. It is called only if the
+            endpoint decides whether the limit is reached.
     """
 
     def __init__(
         self,
         progress: call_progress.CallProgress,
         view: routing_view.RoutingView,
-        connects: Callable[[model.Endpoint, float], errors.Failure | None],
+        find_absence: Callable[
+            [model.Endpoint, model.Service, float], errors.Failure | None
+        ],
     ) -> None:
         self._progress = progress
         self._view = view
-        self._connects = connects
+        self._find_absence = find_absence
 
     def allows_another(self) -> bool:
         """Returns whether one more endpoint may run the call."""
-        max_attempts = self._progress.admitted.route.max_attempts
+        admitted = self._progress.admitted
+        max_attempts = admitted.route.max_attempts
         listed = [
             endpoint
             for endpoint in self._progress.possible_run_endpoints
@@ -46,11 +49,12 @@
         ]
         if len(listed) < max_attempts:
             return True
-        reached_count = sum(
-            self._connects(endpoint, _CONNECT_TIMEOUT_S) is None
+        present_count = sum(
+            self._find_absence(endpoint, admitted.service, _CONNECT_TIMEOUT_S)
+            is None
             for endpoint in listed
         )
-        return reached_count < max_attempts
+        return present_count < max_attempts
 
     def _is_listed(self, endpoint: model.Endpoint) -> bool:
         """Returns whether the same start of an endpoint has an entry."""
--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -37,7 +37,7 @@
 
 
 def try_connect(
-    endpoint: model.Endpoint, timeout_s: float
+    endpoint: model.Endpoint, _: model.Service | None, timeout_s: float
 ) -> errors.Failure | None:
     """Opens a connection, closes it, and returns why it failed, or None."""
     conn = client.connect(endpoint.address, timeout_s)
@@ -56,8 +56,8 @@
         scheduler: Records the suspected requests and the crashes.
         view: Holds which endpoints are leaving.
         log: Receives one line for each crash.
-        connects: Returns why no connection to an endpoint can be opened within
-            some seconds, or None.
+        find_absence: Returns why an endpoint of a service has ended or cannot
+            be reached within some seconds, or None.
     """
 
     def __init__(
@@ -65,12 +65,13 @@
         scheduler: scheduling.Scheduler,
         view: routing_view.RoutingView,
         log: events.Log,
-        connects: Callable[
-            [model.Endpoint, float], errors.Failure | None
+        find_absence: Callable[
+            [model.Endpoint, model.Service | None, float],
+            errors.Failure | None,
         ] = try_connect,
     ) -> None:
         self._scheduler = scheduler
-        self._connects = connects
+        self._find_absence = find_absence
         self._view = view
         self._log = log
         self._endpoint_ids_in_check: set[str] = set()
@@ -90,7 +91,7 @@
         return not self._view.is_leaving(endpoint.endpoint_id)
 
     def _check(self, endpoint: model.Endpoint) -> None:
-        """Tries to connect twice; records a crash if an attempt fails."""
+        """Looks for the endpoint twice; records a crash if it has ended."""
         try:
             for delay_s in _DELAYS_S:
                 eventlet.sleep(delay_s)
@@ -140,11 +141,15 @@
             eventlet.sleep(_DOUBT_PAUSE_S)
 
     def _record_if_crashed(self, endpoint: model.Endpoint) -> bool:
-        """Records a crash and returns True if a connection attempt fails.
+        """Records a crash and returns True if the endpoint has ended.
 
         It is no crash if this process has lost its paths to the service.
         """
-        failure = self._connects(endpoint, _CONNECT_TIMEOUT_S)
+        configuration = self._view.configuration
+        services = configuration.services if configuration else {}
+        failure = self._find_absence(
+            endpoint, services.get(endpoint.service), _CONNECT_TIMEOUT_S
+        )
         if failure is None:
             return False
         self._scheduler.health_tracker.record_unreachable(
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -105,7 +105,7 @@
         self.call_reporter = call_reporter
         self.serving_state = serving_state
         self.crash_detector = crash_detection.CrashDetector(
-            scheduler, view, log, sender.try_connect
+            scheduler, view, log, sender.find_absence
         )
         self.endpoint_finder = endpoint_finder.EndpointFinder(
             scheduler, serving_state
@@ -559,7 +559,7 @@
             self._crashes,
             self.progress,
             attempt_limit.AttemptLimit(
-                self.progress, deps.view, deps.sender.try_connect
+                self.progress, deps.view, deps.sender.find_absence
             ),
         )
         self._status = response.head.status
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -174,11 +174,39 @@
         response.is_pooled = True
         self._pool.release(response.endpoint, response.conn)
 
-    def try_connect(
-        self, endpoint: model.Endpoint, timeout_s: float
+    def find_absence(
+        self,
+        endpoint: model.Endpoint,
+        service: model.Service | None,
+        timeout_s: float,
     ) -> errors.Failure | None:
-        """Opens a connection, closes it, and returns why it failed, or None."""
-        return self._pool.try_connect(endpoint, timeout_s)
+        """Returns why an endpoint has ended or cannot be reached, or None.
+
+        It has ended if nothing answers in its name, whatever accepts a
+        connection at its address. One that is silent may live.
+
+        Args:
+            endpoint: The endpoint.
+            service: Its service; None if it is not known, so that a connection
+                has to suffice.
+            timeout_s: Longest time for opening a connection, in seconds.
+        """
+        conn = self._pool.acquire(endpoint, timeout_s, must_be_new=True)
+        if isinstance(conn, errors.Failure):
+            return conn
+        self._pool.put_back(endpoint, conn)
+        if service is None:
+            return None
+        evidence, _ = end_check.collect_evidence(
+            functools.partial(self._request_status, endpoint, service, ""),
+            float("inf"),
+        )
+        if evidence in (
+            end_check.Evidence.GONE,
+            end_check.Evidence.OTHER_START,
+        ):
+            return errors.Failure(errors.Kind.ENDPOINT_FAILED, evidence.value)
+        return None
 
     def find_broken_end(
         self,
