Test what follows for peers from a process that is cut off

A process whose connections were reset marked its engines as crashed for the requests in progress: nine equal requests were refused with 422 by all processes afterwards.

--- a/libs/gateway/src/dandelionlead/gateway/reach_probing.py
+++ b/libs/gateway/src/dandelionlead/gateway/reach_probing.py
@@ -28,12 +28,12 @@
 PROBES_METRIC = "reach_probes_total"
 _TURN_INTERVAL_S = 0.15
 _PROBE_TIMEOUT_S = 0.3
-# Number of endpoints that are probed at the first failure, and in each further
-# turn. The first is enough to find that one endpoint alone is down.
+# Number of endpoints that are probed at the first failure, and each further
+# time. The first are enough to find that one endpoint alone is down.
 _FIRST_PROBES = 3
 _TURN_PROBES = 4
-# Shortest time between two probes of an endpoint. The longer one applies once
-# the service has not been reached for some seconds and no peer reaches it.
+# Time between two probes of a service. The longer one applies once the service
+# has not been reached for some seconds and no peer reaches it.
 _PROBE_INTERVAL_S = 0.4
 _SLOW_PROBE_INTERVAL_S = 2.0
 _SLOW_AFTER_S = 3.0
@@ -86,6 +86,8 @@
         self._is_running = False
         # Times in seconds of the last probes, by endpoint id.
         self._probed_s: dict[str, float] = {}
+        # Times in seconds of the last probes of services, by name.
+        self._service_probed_s: dict[str, float] = {}
         # Time in seconds since which a service is in doubt, by its name.
         self._in_doubt_since_s: dict[str, float] = {}
         # Reach that was last logged, by name of the service.
@@ -121,9 +123,8 @@
             < _RECENT_RESPONSE_S
             for other in self._view.list_service_endpoints(endpoint.service)
         )
-        if not has_response and self._is_due(
-            endpoint.endpoint_id, _PROBE_INTERVAL_S
-        ):
+        probed_s = self._probed_s.get(endpoint.endpoint_id, float("-inf"))
+        if not has_response and now_s - probed_s >= _PROBE_INTERVAL_S:
             self._spawn_probe(endpoint)
 
     def _handle_peer_statement(self) -> None:
@@ -155,6 +156,7 @@
         finally:
             self._is_running = False
             self._in_doubt_since_s.clear()
+            self._service_probed_s.clear()
 
     def _take_turn(self) -> bool:
         """Probes what is due; returns whether any service is in doubt."""
@@ -188,11 +190,13 @@
             state is not reach.Reach.CUT_OFF and now_s - since_s > _SLOW_AFTER_S
         )
         interval_s = _SLOW_PROBE_INTERVAL_S if is_slow else _PROBE_INTERVAL_S
+        if now_s - self._service_probed_s.get(service, 0.0) < interval_s:
+            return []
+        self._service_probed_s[service] = now_s
         due = [
             endpoint
             for endpoint in self._view.list_service_endpoints(service)
-            if self._is_due(endpoint.endpoint_id, interval_s)
-            and not self._has_just_failed(endpoint.endpoint_id, now_s)
+            if not self._has_just_failed(endpoint.endpoint_id, now_s)
         ]
         count = _FIRST_PROBES if is_first else _TURN_PROBES
         return self._rng.sample(due, min(count, len(due)))
@@ -228,10 +232,6 @@
             for name in doubting
         )
 
-    def _is_due(self, endpoint_id: str, interval_s: float) -> bool:
-        probed_s = self._probed_s.get(endpoint_id, float("-inf"))
-        return clock.boottime() - probed_s >= interval_s
-
     def _has_just_failed(self, endpoint_id: str, now_s: float) -> bool:
         """Whether a connection of a call to an endpoint has just failed."""
         unreached_s = self._scheduler.reach_tracker.get_last_unreached_s(
