--- a/libs/cluster/cluster.thrift
+++ b/libs/cluster/cluster.thrift
@@ -175,7 +175,7 @@
   // take these outcomes into account, too.
   10: list<EndpointHealth> doubtful
   11: list<VersionCount> versions
-  // Left out by processes of earlier versions.
+  // Not set if the process states nothing, and by processes of earlier versions.
   12: list<ServiceReach> reach
 }
 
--- a/libs/ctl/src/dandelionlead/ctl/commands.py
+++ b/libs/ctl/src/dandelionlead/ctl/commands.py
@@ -42,7 +42,9 @@
     """Shows which data each process uses, and the age of that data.
 
     The data are the configuration, the operator's orders and the endpoints.
-    The last column lists rows of the store whose present version is not valid.
+    The last columns list rows of the store whose present version is not valid,
+    and the services that the process does not reach: `cut_off` if its peers
+    reach them, `down` if nobody does.
 
     Args:
         processes: `control` address (IP:PORT) of each process.
@@ -65,6 +67,7 @@
                 len(process_state["endpoints"]),
                 len(process_state["peers"]),
                 ",".join(process_state.get("unreadable_rows", ())) or "-",
+                _format_reach(process_state.get("reach", {})),
             )
         )
     titles = (
@@ -77,6 +80,7 @@
         "endpoints",
         "peers",
         "unreadable rows",
+        "not reached",
     )
     if rows:
         print_lines(table.format_table(titles, rows))
@@ -210,6 +214,16 @@
     return exit_codes.ExitCode.DONE if exit_code is None else exit_code
 
 
+def _format_reach(reach: dict[str, str]) -> str:
+    """Returns the services that a process does not reach, and why."""
+    unreached = [
+        f"{service}:{state}"
+        for service, state in sorted(reach.items())
+        if state in ("cut_off", "down")
+    ]
+    return ",".join(unreached) or "-"
+
+
 def _fetch_state(address: str) -> dict[str, object] | None:
     """Fetches the state of a process.
 
--- a/libs/gateway/src/dandelionlead/gateway/peer_state.py
+++ b/libs/gateway/src/dandelionlead/gateway/peer_state.py
@@ -155,7 +155,7 @@
                 )
             ],
             versions=self._encode_version_counts(),
-            reach=self._encode_reach(now_s),
+            reach=self._encode_reach(now_s) or None,
         )
 
     def get_own_load(self, endpoint_id: str) -> ttypes.EndpointLoad:
--- a/libs/gateway/src/dandelionlead/gateway/reach_probing.py
+++ b/libs/gateway/src/dandelionlead/gateway/reach_probing.py
@@ -40,7 +40,7 @@
 # A response of the service within this time shows that its paths are open.
 _RECENT_RESPONSE_S = 1.0
 # For peers, a service is probed if its last connection is older than this.
-_MAX_ANSWER_AGE_S = 0.8
+_MAX_ANSWER_AGE_S = 1.4
 # Number of processes that answer each peer that does not reach a service. All
 # processes do while there are few.
 _HELPERS = 4
@@ -90,6 +90,8 @@
         self._service_probed_s: dict[str, float] = {}
         # Time in seconds since which a service is in doubt, by its name.
         self._in_doubt_since_s: dict[str, float] = {}
+        # Services that were cut off since this process last reached them.
+        self._cut_off_services: set[str] = set()
         # Reach that was last logged, by name of the service.
         self._logged: dict[str, reach.Reach] = {}
         scheduler.reach_tracker.peer_listener = self._handle_peer_statement
@@ -129,10 +131,9 @@
 
     def _handle_peer_statement(self) -> None:
         """Answers a peer, or takes the answer of a peer into account."""
-        if self._is_running:
+        if self._scheduler.reach_statements.awaits_answer():
             self._update()
-        else:
-            self.start()
+        self.start()
 
     def start(self) -> None:
         """Starts the turns in the background, unless they run already."""
@@ -277,7 +278,10 @@
         if state is reach.Reach.UNKNOWN or state is previous:
             return
         self._logged[service] = state
-        if previous is reach.Reach.CUT_OFF and state is reach.Reach.REACHED:
+        if state is reach.Reach.CUT_OFF:
+            self._cut_off_services.add(service)
+        elif state is reach.Reach.REACHED and service in self._cut_off_services:
+            self._cut_off_services.remove(service)
             self._scheduler.health_tracker.forget(
                 self._view.list_endpoint_ids_by_service()[service]
             )
--- a/libs/routing/src/dandelionlead/routing/reach_statements.py
+++ b/libs/routing/src/dandelionlead/routing/reach_statements.py
@@ -15,7 +15,7 @@
 # Limit on the services that are stated; it bounds the size of messages.
 MAX_SERVICES = 16
 # The time of the last connection is stated again if it is later by this.
-_REFRESH_S = 0.8
+_REFRESH_S = 1.5
 
 
 class Statement:
@@ -76,6 +76,13 @@
         """Whether this process is cut off from any service."""
         return any(item.is_cut_off for item in self._statements.values())
 
+    def awaits_answer(self) -> bool:
+        """Whether this process asks its peers who reaches a service."""
+        return any(
+            item.is_unreached and not item.is_cut_off
+            for item in self._statements.values()
+        )
+
     def is_unreached(self, service: str) -> bool:
         """Whether this process states that it does not reach a service."""
         statement = self._statements.get(service)
