--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -99,28 +99,29 @@
         finally:
             self._endpoint_ids_in_check.discard(endpoint.endpoint_id)
 
-    def record_unreachable(self, endpoint: model.Endpoint) -> None:
-        """Records a failed connection; in the background also a crash.
+    def confirm_failure(
+        self, endpoint: model.Endpoint, record: Callable[[], None]
+    ) -> None:
+        """Records a failed connection, unless only its path is lost.
 
-        Nothing is recorded as a crash if this process has lost its paths to the
-        service.
+        Args:
+            endpoint: The endpoint that was not reached.
+            record: Records the failure. It is called at once, or in the
+                background if it is in doubt whether this process has lost its
+                paths to the service.
         """
-        now_s = clock.boottime()
-        self._scheduler.health_tracker.record_unreachable(
-            endpoint.endpoint_id, now_s
-        )
-        if not self._scheduler.is_reach_in_doubt(endpoint.service, now_s):
-            self._scheduler.record_endpoint_lost(endpoint, now_s)
-        elif endpoint.endpoint_id not in self._endpoint_ids_in_check:
-            self._endpoint_ids_in_check.add(endpoint.endpoint_id)
-            eventlet.spawn_n(self._record_lost_unless_cut_off, endpoint)
-
-    def _record_lost_unless_cut_off(self, endpoint: model.Endpoint) -> None:
-        try:
-            if not self._has_lost_path(endpoint):
-                self._scheduler.record_endpoint_lost(endpoint, clock.boottime())
-        finally:
-            self._endpoint_ids_in_check.discard(endpoint.endpoint_id)
+        if self._scheduler.is_reach_in_doubt(
+            endpoint.service, clock.boottime()
+        ):
+            eventlet.spawn_n(self._record_unless_cut_off, endpoint, record)
+        else:
+            record()
+
+    def _record_unless_cut_off(
+        self, endpoint: model.Endpoint, record: Callable[[], None]
+    ) -> None:
+        if not self._has_lost_path(endpoint):
+            record()
 
     def _has_lost_path(self, endpoint: model.Endpoint) -> bool:
         """Returns whether only this process does not reach an endpoint.
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -372,7 +372,9 @@
                 now_s,
             )
         elif failure.kind is errors.Kind.ENDPOINT_UNREACHABLE:
-            deps.crash_detector.record_unreachable(endpoint)
+            deps.scheduler.health_tracker.record_unreachable(
+                endpoint.endpoint_id, now_s
+            )
         else:
             deps.scheduler.health_tracker.record_unreachable(
                 endpoint.endpoint_id, now_s
@@ -383,9 +385,12 @@
             self._record_begun_if_plain(run)
         self.progress.end_attempt(failure.run_state)
         took_s = now_s - run.sent_s
-        # What fails for the paths of this process alone is no evidence against
-        # the version of the endpoint.
-        if not deps.scheduler.is_unreached(endpoint.service, now_s):
+        if failure.kind is errors.Kind.ENDPOINT_UNREACHABLE:
+            deps.crash_detector.confirm_failure(
+                endpoint,
+                lambda: self._record_lost_endpoint(endpoint, took_s),
+            )
+        elif not deps.scheduler.is_unreached(endpoint.service, now_s):
             deps.scheduler.record_outcome(
                 endpoint, self._admitted.route.name, took_s, failed=True
             )
@@ -397,6 +402,16 @@
             reason=failure.reason,
         )
 
+    def _record_lost_endpoint(
+        self, endpoint: model.Endpoint, took_s: float
+    ) -> None:
+        """Records that an endpoint takes no connections, from any process."""
+        scheduler = self._deps.scheduler
+        scheduler.record_endpoint_lost(endpoint, clock.boottime())
+        scheduler.record_outcome(
+            endpoint, self._admitted.route.name, took_s, failed=True
+        )
+
     def _record_begun_if_plain(self, run: runs.Run) -> None:
         """Records that an endpoint of a plain service has run the call.
 
