--- a/libs/gateway/src/dandelionlead/gateway/reach_probing.py
+++ b/libs/gateway/src/dandelionlead/gateway/reach_probing.py
@@ -106,8 +106,11 @@
             self._update()
 
     def handle_failed(self, endpoint: model.Endpoint) -> None:
-        """Records that no connection could be opened, and starts probing."""
-        if endpoint.endpoint_id not in self._view.endpoints:
+        """Records that no connection could be opened, and starts probing.
+
+        An endpoint that is leaving, or has no entry, is expected to fail.
+        """
+        if self._view.is_leaving(endpoint.endpoint_id):
             return
         self._scheduler.reach_tracker.record_unreached(
             endpoint.endpoint_id, clock.boottime()
--- a/libs/routing/src/dandelionlead/routing/routing_view.py
+++ b/libs/routing/src/dandelionlead/routing/routing_view.py
@@ -243,21 +243,26 @@
         return list(self.list_endpoint_ids_by_service())
 
     def list_endpoint_ids_by_service(self) -> dict[str, list[str]]:
-        """Returns the ids of all endpoints, by name of the service."""
+        """Returns the ids of endpoints, by name of the service.
+
+        Endpoints that are draining or leaving are left out.
+        """
         endpoint_ids: dict[str, list[str]] = {}
         for endpoint in self.endpoints.values():
-            endpoint_ids.setdefault(endpoint.service, []).append(
-                endpoint.endpoint_id
-            )
+            if not endpoint.draining and (
+                endpoint.endpoint_id not in self._departures
+            ):
+                endpoint_ids.setdefault(endpoint.service, []).append(
+                    endpoint.endpoint_id
+                )
         return endpoint_ids
 
     def list_service_endpoints(self, service: str) -> list[model.Endpoint]:
-        """Returns all endpoints of a service, also those that are leaving."""
-        return [
-            endpoint
-            for endpoint in self.endpoints.values()
-            if endpoint.service == service
-        ]
+        """Returns a service's endpoints that are not draining or leaving.
+
+        Those in closed zones are included.
+        """
+        return self._list_not_leaving(service)
 
     def list_grace_endpoints(
         self, service: str, now_s: float
