Wait for the verdict on lost paths before further attempts

A call tried endpoint after endpoint, 0.5 s each, while most of them could not be reached and the process was about to learn whether only its own paths are lost.

--- a/libs/gateway/src/dandelionlead/gateway/call_relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_relay.py
@@ -45,7 +45,7 @@
 _AVOIDANCE_S = 1.0
 # After the first failed connection to a service, it is known within this time
 # whether peers reach the service.
-_MAX_DOUBT_S = 0.8
+_MAX_DOUBT_S = 1.2
 _DOUBT_PAUSE_S = 0.02
 # A call whose deadline is nearer than this waits for nothing.
 _MIN_REMAINING_S = 0.1
@@ -134,6 +134,9 @@
         self._zone = zone
         self._port = port
         self._rng = rng
+        # Time in seconds of the first call that failed since an endpoint of a
+        # service was reached, by name of the service.
+        self._failing_since_s: dict[str, float] = {}
         # Until when peers that did not accept a call come last, by node.
         self._avoided_until_s: dict[str, float] = {}
 
@@ -144,17 +147,32 @@
             service, endpoint_ids, clock.boottime()
         )
 
+    def is_unreached(self, service: str) -> bool:
+        """Returns whether a further attempt at an endpoint would likely fail.
+
+        That is the case if connections to many endpoints have failed and none
+        was opened since.
+        """
+        return self.reach.is_unreached(
+            self._list_endpoint_ids(service), clock.boottime()
+        )
+
     def get_doubt_end_s(self, service: str) -> float:
         """Returns until when it may turn out that this process is cut off.
 
-        In seconds of `clock.boottime`; minus infinity if there is no doubt. A
-        service that has failed for longer is down for all, as far as peers say.
+        In seconds of `clock.boottime`; minus infinity if there is no doubt. The
+        time counts from the first call that failed since an endpoint of the
+        service was reached: a service that fails for longer is down for all.
         """
         now_s = clock.boottime()
-        since_s = self.reach.get_in_doubt_since_s(
-            self._list_endpoint_ids(service), now_s
-        )
-        return since_s + _MAX_DOUBT_S if since_s <= now_s else float("-inf")
+        endpoint_ids = self._list_endpoint_ids(service)
+        if not self.reach.is_in_doubt(endpoint_ids, now_s):
+            return float("-inf")
+        since_s = self._failing_since_s.get(service)
+        reached_s = self.reach.get_last_reached_s(endpoint_ids)
+        if since_s is None or since_s < reached_s:
+            since_s = self._failing_since_s[service] = now_s
+        return since_s + _MAX_DOUBT_S
 
     def _list_endpoint_ids(self, service: str) -> list[str]:
         return [
@@ -232,7 +250,7 @@
         return request_limits.idle_timeout_s
 
     def list_peer_ids(self) -> set[str]:
-        """Returns the ids of the live peers, and forgets what is out of date.
+        """Returns the ids of the live peers, and drops what is out of date.
 
         The ids are those of `Peer.endpoint_id`.
         """
@@ -242,6 +260,9 @@
             for node, until_s in self._avoided_until_s.items()
             if until_s > now_s
         }
+        services = set(self._view.list_service_names())
+        for service in self._failing_since_s.keys() - services:
+            del self._failing_since_s[service]
         return {
             f"peer-{member.process_id}"
             for member in self._roster.live_members(now_s)
--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -280,12 +280,18 @@
         return True
 
     def _should_relay(self) -> bool:
-        """Returns whether the call is passed on to a peer."""
+        """Returns whether the call is passed on to a peer.
+
+        Waits for the answer if an attempt at an endpoint would likely fail.
+        """
         passes_on = self._deps.call_relay
-        return (
-            self._origin is None
-            and passes_on is not None
-            and passes_on.should_relay(self._admitted.service.name)
+        if self._origin is not None or passes_on is None:
+            return False
+        service_name = self._admitted.service.name
+        if passes_on.should_relay(service_name):
+            return True
+        return passes_on.peers.is_unreached(service_name) and (
+            self._await_relay()
         )
 
     def _await_relay(self) -> bool:
--- a/libs/gateway/tests/test_call_relay.py
+++ b/libs/gateway/tests/test_call_relay.py
@@ -24,7 +24,8 @@
     def __init__(self) -> None:
         self.is_cut = True
         self.peers: list[str] = []
-        self.in_doubt_since_s = float("inf")
+        self.is_doubtful = False
+        self.reached_s = float("-inf")
 
     def is_cut_off(
         self, service: str, endpoint_ids: list[str], now_s: float
@@ -32,11 +33,17 @@
         del service, now_s
         return self.is_cut and bool(endpoint_ids)
 
-    def get_in_doubt_since_s(
-        self, endpoint_ids: Collection[str], now_s: float
-    ) -> float:
+    def is_in_doubt(self, endpoint_ids: Collection[str], now_s: float) -> bool:
         del endpoint_ids, now_s
-        return self.in_doubt_since_s
+        return self.is_doubtful
+
+    def is_unreached(self, endpoint_ids: Collection[str], now_s: float) -> bool:
+        del endpoint_ids, now_s
+        return self.is_doubtful
+
+    def get_last_reached_s(self, endpoint_ids: Collection[str]) -> float:
+        del endpoint_ids
+        return self.reached_s
 
     def list_reaching_peers(self, service: str, now_s: float) -> list[str]:
         del service, now_s
@@ -139,6 +146,17 @@
         self.assertEqual(self.choose_node(), "a")
         self.assertIsNone(self.peers.choose(_SERVICE, {"a"}))
 
+    def test_doubt_ends_unless_an_endpoint_was_reached_again(self) -> None:
+        """Guards against waits at a service that is down for long."""
+        self.assertLess(self.peers.get_doubt_end_s(_SERVICE), self.now_s)
+        self.reach.is_doubtful = True
+        end_s = self.peers.get_doubt_end_s(_SERVICE)
+        self.assertTrue(self.now_s < end_s < self.now_s + 2.0)
+        self.now_s += 30.0
+        self.assertEqual(self.peers.get_doubt_end_s(_SERVICE), end_s)
+        self.reach.reached_s = self.now_s - 1.0
+        self.assertGreater(self.peers.get_doubt_end_s(_SERVICE), self.now_s)
+
     def test_no_peer_without_a_port(self) -> None:
         self.add_peer("a")
         self.assertEqual(self.make_directory(None).list_peers(_SERVICE), [])
--- a/libs/routing/src/dandelionlead/routing/reach.py
+++ b/libs/routing/src/dandelionlead/routing/reach.py
@@ -170,19 +170,6 @@
         """
         return self._find_failures(endpoint_ids, now_s).endpoint_count > 0
 
-    def get_in_doubt_since_s(
-        self, endpoint_ids: Collection[str], now_s: float
-    ) -> float:
-        """Returns when the failures since the last reached endpoint began.
-
-        Infinity if there are none.
-
-        Args:
-            endpoint_ids: Ids of the endpoints of one service.
-            now_s: Current time in seconds.
-        """
-        return self._find_failures(endpoint_ids, now_s).since_s
-
     def is_unreached(self, endpoint_ids: Collection[str], now_s: float) -> bool:
         """Whether connections to many of the endpoints failed, and none opened.
 
