Read a relayed body with a length whole before any of it is sent

The codec leaves Content-Length out of the decoded head, so that each body of a peer was forwarded in parts: a broken one reached the caller cut short in place of 502, and complete ones came in chunks.

--- a/libs/gateway/src/dandelionlead/gateway/call_relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_relay.py
@@ -484,18 +484,18 @@
             `ANSWERED` or `REFUSED` once the whole response was forwarded, else
             the failure.
         """
-        head = self._send(conn)
-        if isinstance(head, errors.Failure):
-            return self._make_broken_failure(head)
-        if head.ends_with_connection:
+        raw_head = self._send(conn)
+        if isinstance(raw_head, errors.Failure):
+            return self._make_broken_failure(raw_head)
+        head = self._relay.codec.decode_response_head(raw_head)
+        fault = self._find_fault(head)
+        if fault:
             return self._make_broken_failure(
-                errors.Failure(
-                    errors.Kind.ENDPOINT_FAILED, "its body has no length"
-                )
+                errors.Failure(errors.Kind.ENDPOINT_FAILED, fault)
             )
         if head.implies_not_run:
             return self._handle_refusal(peer, conn, head)
-        if any(name.lower() == b"content-length" for name, _ in head.headers):
+        if raw_head.get_header(b"content-length") is not None:
             body = conn.receive_body(
                 self._read_deadline_s, sending.MAX_BODY_BYTES
             )
@@ -506,7 +506,7 @@
 
     def _send(
         self, conn: client.ClientConnection
-    ) -> calls.EndpointResponseHead | errors.Failure:
+    ) -> client.ResponseHead | errors.Failure:
         """Sends the call and reads the head of the response."""
         call, relay = self._call, self._relay
         remaining_s = self._admitted.deadline_s - clock.boottime()
@@ -520,16 +520,15 @@
         )
         if failure is not None:
             return failure
-        head = conn.read_head(self._read_deadline_s)
-        if isinstance(head, errors.Failure):
-            return head
-        response_head = relay.codec.decode_response_head(head)
-        if response_head.request_id not in ("", call.request_id):
-            return errors.Failure(
-                errors.Kind.ENDPOINT_FAILED,
-                "the response belongs to another request",
-            )
-        return response_head
+        return conn.read_head(self._read_deadline_s)
+
+    def _find_fault(self, head: calls.EndpointResponseHead) -> str:
+        """Returns why a head cannot be that of a peer; empty if it can."""
+        if head.request_id not in ("", self._call.request_id):
+            return "the response belongs to another request"
+        if head.ends_with_connection:
+            return "the body of the response has no end mark"
+        return ""
 
     @property
     def _read_deadline_s(self) -> float:
