--- a/tools/soak.py
+++ b/tools/soak.py
@@ -28,12 +28,14 @@
 import cyclopts  # noqa: E402
 import eventlet  # noqa: E402
 import harness  # noqa: E402
+import soak_evidence  # noqa: E402
 import soak_faults  # noqa: E402
 import soak_system  # noqa: E402
 import soak_workers  # noqa: E402
 
 from dandelionlead.core import clock  # noqa: E402
 
+_EVIDENCE_FOLDER = _ROOT / "build" / "soak"
 _ENTRY_COUNT = 4
 _CALLER_COUNT = 10
 _START_TIMEOUT_S = 20.0
@@ -232,14 +234,18 @@
     seed: int = 1,
     minutes: float = 1.0,
     logs: pathlib.Path | None = None,
+    keep: pathlib.Path = _EVIDENCE_FOLDER,
 ) -> int:
     """Performs one soak run; the exit code is 1 if a guarantee was violated.
 
+    Violations leave a folder with their texts, the faults and the logs.
+
     Args:
         seed: Seed of the faults, their times and the requests.
         minutes: Minutes for which faults are injected.
         logs: Directory for the logs of the entries; without it, the logs are
             deleted at the end.
+        keep: Directory for the folders that violations leave.
     """
     with tempfile.TemporaryDirectory() as folder:
         log_folder = pathlib.Path(folder)
@@ -251,12 +257,15 @@
             soak.run(minutes * 60)
         finally:
             soak.kill_entries()
+            evidence_folder = _keep_evidence(seed, soak, log_folder, keep)
     for (kind, status), count in sorted(
         soak.observations.response_counts.items()
     ):
         print(f"{kind} {status}: {count}")
     for text in soak.observations.violations:
         print(f"violation: {text}")
+    if evidence_folder is not None:
+        print(f"evidence: {evidence_folder}")
     print(
         f"soak seed {seed}: {len(soak.observations.violations)} "
         "guarantees violated"
@@ -264,5 +273,21 @@
     return 1 if soak.observations.violations else 0
 
 
+def _keep_evidence(
+    seed: int, soak: Soak, log_folder: pathlib.Path, keep: pathlib.Path
+) -> pathlib.Path | None:
+    """Keeps the evidence of violations; returns None if there are none."""
+    observations = soak.observations
+    if not observations.violations:
+        return None
+    return soak_evidence.keep(
+        seed,
+        observations.violations,
+        observations.fault_lines,
+        log_folder,
+        keep,
+    )
+
+
 if __name__ == "__main__":
     sys.exit(_app(result_action="return_value"))
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -22,7 +22,9 @@
 
     def inject_fault(self) -> None:
         """Starts one random fault."""
-        self._rng.choice(_FAULTS)(self)
+        fault = self._rng.choice(_FAULTS)
+        self.observations.add_fault(fault.__name__.strip("_"))
+        fault(self)
 
     def _kill_entry(self) -> None:
         host = self._choose_host()
--- a/tools/soak_observations.py
+++ b/tools/soak_observations.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 
 import harness
 
+from dandelionlead.core import clock
+
 # Statuses of a response which state that the request did not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Number of times that a request may run, by kind of request.
@@ -16,7 +19,9 @@
     """Results of requests, as observed by callers and workers.
 
     Attributes:
-        violations: One line for each violation of a guarantee.
+        violations: One line for each violation of a guarantee, with its time
+            and the load average of the machine.
+        fault_lines: One line for each fault that was injected, with its time.
         response_counts: Number of responses by kind of request and HTTP status.
         run_counts: Number of times that each request id reached a worker.
         not_run_statuses: HTTP status by request id, for each response which
@@ -26,12 +31,28 @@
     """
 
     def __init__(self) -> None:
+        self._started_s = clock.boottime()
         self.violations: list[str] = []
+        self.fault_lines: list[str] = []
         self.response_counts: dict[tuple[str, int], int] = {}
         self.run_counts: dict[str, int] = {}
         self.not_run_statuses: dict[str, int] = {}
         self.max_run_counts: dict[str, int] = {}
 
+    def add_violation(self, text: str) -> None:
+        """Records a violation with its time and the machine's load."""
+        load_average, _, _ = os.getloadavg()
+        self.violations.append(
+            f"{text} (after {self._compute_elapsed_s():.1f} s,"
+            f" load average {load_average:.1f})"
+        )
+
+    def add_fault(self, description: str) -> None:
+        """Records a fault with its time."""
+        self.fault_lines.append(
+            f"{self._compute_elapsed_s():.2f} s {description}"
+        )
+
     def limit_runs(self, kind: str, request_id: str) -> None:
         """Sets how often a request may run, by its kind."""
         if kind in _MAX_RUNS:
@@ -45,11 +66,11 @@
         """
         for request_id, status in self.not_run_statuses.items():
             if self.run_counts.get(request_id):
-                self.violations.append(f"{request_id} got {status} but ran")
+                self.add_violation(f"{request_id} got {status} but ran")
         for request_id, max_runs in self.max_run_counts.items():
             run_count = self.run_counts.get(request_id, 0)
             if run_count > max_runs:
-                self.violations.append(
+                self.add_violation(
                     f"{request_id} ran {run_count} times, limit {max_runs}"
                 )
 
@@ -85,7 +106,7 @@
         self.run_counts[request_id] = self.run_counts.get(request_id, 0) + 1
         expected = "engines" if b"/stream/" in target else "plain"
         if service != expected:
-            self.violations.append(f"{request_id} ran at a worker of {service}")
+            self.add_violation(f"{request_id} ran at a worker of {service}")
 
     def check_logs(self, folder: pathlib.Path) -> None:
         """Checks that no process ended over a call without a response.
@@ -99,7 +120,7 @@
             for line in path.read_text(errors="replace").splitlines():
                 is_cut = "event=cut_at_stop" in line
                 if is_cut and "phase=responding" not in line:
-                    self.violations.append(f"cut without a response: {line}")
+                    self.add_violation(f"cut without a response: {line}")
 
     def check_response(
         self,
@@ -118,7 +139,7 @@
         if kind in _MAX_RUNS:
             expected_body = b"whole of " + kind.encode()
             if response.is_complete and response.body != expected_body:
-                self.violations.append(
+                self.add_violation(
                     f"{request_id} got an unexpected body: {response.body!r}"
                 )
             return
@@ -127,10 +148,13 @@
             for number in range(1, event_count + 1)
         )
         if response.is_complete and response.body != expected_stream:
-            self.violations.append(
+            self.add_violation(
                 f"{request_id} got a complete stream of wrong events"
             )
         if not expected_stream.startswith(response.body):
-            self.violations.append(
+            self.add_violation(
                 f"{request_id} got missing, repeated or wrong events"
             )
+
+    def _compute_elapsed_s(self) -> float:
+        return clock.boottime() - self._started_s
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -78,7 +78,7 @@
             entry.wait()
 
     def _record_violation(self, text: str) -> None:
-        self.observations.violations.append(text)
+        self.observations.add_violation(text)
 
     def _wait_until(
         self, condition: Callable[[], bool], timeout_s: float, description: str
