Soak: engines end as dying processes do, and their streams look complete

Callers of a system that an operator ran took streams for complete that their engine had ended early; the soak had no such fault. Engines now end in a series of their own beside the other faults: connections are closed in order between two events, half of the times after a last chunk. Their address then refuses connections, or accepts and closes, resets or ignores them, for 1 to 3 s, until a new start, mostly with a new id, is back. Workers answer their report with `born` and the runs they have, and their health path with their id; both reject a request for another id. The proxy has a module of its own. A violation says how the stream ended.

The check is the one that was there: a complete stream has all its events.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -84,6 +84,7 @@
         for _ in range(_CALLER_COUNT):
             eventlet.spawn_n(self._send_requests)
         deadline_s = clock.boottime() + duration_s
+        eventlet.spawn_n(self.end_engines, deadline_s)
         while clock.boottime() < deadline_s:
             self.inject_fault()
             eventlet.sleep(self._rng.uniform(*_PAUSE_RANGE_S))
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -6,6 +6,7 @@
 import subprocess
 
 import eventlet
+import soak_proxy
 import soak_system
 import soak_workers
 
@@ -15,6 +16,18 @@
 _REVOKE_PROBABILITY = 0.3
 # Seconds for which all engines begin no run in a stop under full engines.
 _FULL_ENGINES_S = 9.0
+# Time from the early end of one engine to the next, and until it starts again.
+_ENGINE_END_PAUSE_RANGE_S = (0.3, 2.0)
+_ENGINE_RESTART_RANGE_S = (1.0, 3.0)
+# Low, since most new starts have a new id.
+_SAME_ID_PROBABILITY = 0.2
+# What the address of an engine does after its process has ended.
+_ACCEPTANCES_AFTER_END = (
+    soak_proxy.Acceptance.REFUSE,
+    soak_proxy.Acceptance.CLOSE,
+    soak_proxy.Acceptance.SILENT,
+    soak_proxy.Acceptance.RESET,
+)
 
 
 class SoakFaults(soak_system.SoakSystem):
@@ -26,6 +39,45 @@
         self.observations.add_fault(fault.__name__.strip("_"))
         fault(self)
 
+    def end_engines(self, deadline_s: float) -> None:
+        """Ends processes of engines one after another until a deadline.
+
+        Args:
+            deadline_s: Deadline in seconds of `clock.boottime`.
+        """
+        while clock.boottime() < deadline_s:
+            self._end_engine()
+            eventlet.sleep(self._rng.uniform(*_ENGINE_END_PAUSE_RANGE_S))
+
+    def _end_engine(self) -> None:
+        """Ends an engine so that its streams look complete; restarts it."""
+        engines = [
+            worker for worker in self._workers if worker.service == "engines"
+        ]
+        if len(engines) < 2:
+            return
+        worker = self._rng.choice(engines)
+        acceptance = self._rng.choice(_ACCEPTANCES_AFTER_END)
+        must_end_chunks = self._rng.random() < 0.5
+        self._workers.remove(worker)
+        ends = worker.end_process(acceptance, must_end_chunks=must_end_chunks)
+        self.observations.early_ends.update(ends)
+        self.observations.add_fault(
+            f"end_engine {worker.worker_id}: {acceptance.value}"
+        )
+        duration_s = self._rng.uniform(*_ENGINE_RESTART_RANGE_S)
+        eventlet.spawn_after(duration_s, self._restart_engine, worker)
+
+    def _restart_engine(self, worker: soak_workers.SoakWorker) -> None:
+        worker_id = worker.worker_id
+        if self._rng.random() >= _SAME_ID_PROBABILITY:
+            self._store.delete_row("servers", worker_id)
+            self._worker_count += 1
+            worker_id = f"w{self._worker_count}"
+        worker.start_process(worker_id)
+        self._workers.append(worker)
+        self._store.put_row("servers", worker_id, worker.make_entry())
+
     def _kill_entry(self) -> None:
         host = self._choose_host()
         if host is None or len(self._entries) < 2:
--- a/tools/soak_observations.py
+++ b/tools/soak_observations.py
@@ -11,6 +11,7 @@
 
 # Statuses of a response which state that the request did not run.
 _NOT_RUN_STATUSES = (408, 421, 429, 503)
+_EVENT_END = b"\n\n"
 # Number of times that a request may run, by kind of request.
 _MAX_RUNS = {"order": 1, "stock": 2}
 
@@ -26,6 +27,7 @@
         run_counts: Number of times that each request id reached a worker.
         not_run_statuses: HTTP status by request id, for each response which
             states that the request did not run.
+        early_ends: How workers ended streams early, by request id.
         max_run_counts: Number of times that each request id may reach a worker;
             contains no requests for streams.
     """
@@ -37,6 +39,7 @@
         self.response_counts: dict[tuple[str, int], int] = {}
         self.run_counts: dict[str, int] = {}
         self.not_run_statuses: dict[str, int] = {}
+        self.early_ends: dict[str, str] = {}
         self.max_run_counts: dict[str, int] = {}
 
     def add_violation(self, text: str) -> None:
@@ -149,7 +152,9 @@
         )
         if response.is_complete and response.body != expected_stream:
             self.add_violation(
-                f"{request_id} got a complete stream of wrong events"
+                f"{request_id} got a complete stream of wrong events,"
+                f" {response.body.count(_EVENT_END)} of {event_count};"
+                f" {self.early_ends.get(request_id, 'no worker ended it')}"
             )
         if not expected_stream.startswith(response.body):
             self.add_violation(
--- /dev/null
+++ b/tools/soak_proxy.py
@@ -0,0 +1,157 @@
+"""Proxy that disturbs the connections to a part of the soak run's system."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import socket
+import struct
+
+import eventlet
+import eventlet.green.socket as green_socket
+import harness
+
+# `l_onoff` and `l_linger` of a socket whose close resets its connection.
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class Acceptance(enum.Enum):
+    """What a proxy does with a new connection."""
+
+    FORWARD = "forwards it"
+    REFUSE = "refuses it"
+    CLOSE = "accepts and closes it"
+    SILENT = "accepts it and stays silent"
+    RESET = "accepts and resets it"
+
+
+class FaultProxy:
+    """Forwards TCP connections to a target and injects network faults.
+
+    Args:
+        target: IP address and port to forward to.
+
+    Attributes:
+        address: IP address and port that the proxy listens on.
+        acceptance: What happens to new connections, whatever the mode is.
+        mode: `pass` (forwards), `delay` (forwards late), `refuse` (closes new
+            connections), `silent` (reads bytes and forwards none) or `reset`
+            (closes all connections).
+    """
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.address = (harness.next_ip(), target[1])
+        self.acceptance = Acceptance.FORWARD
+        self.mode = "pass"
+        self._target = target
+        self._silent_conns: list[green_socket.GreenSocket] = []
+        self._listen()
+
+    def set_acceptance(self, acceptance: Acceptance) -> None:
+        """Changes what happens to new connections; open ones are left as is.
+
+        Connections that were accepted and kept silent are closed.
+        """
+        is_listening = self.acceptance is not Acceptance.REFUSE
+        self.acceptance = acceptance
+        while self._silent_conns:
+            self._silent_conns.pop().close()
+        if acceptance is Acceptance.REFUSE:
+            self._sock.close()
+        elif not is_listening:
+            self._listen()
+
+    def _listen(self) -> None:
+        self._sock = eventlet.listen(self.address)
+        eventlet.spawn_n(self._accept_connections, self._sock)
+
+    def _accept_connections(self, sock: green_socket.GreenSocket) -> None:
+        while True:
+            try:
+                conn, _ = sock.accept()
+            except OSError:
+                if sock.fileno() < 0:
+                    return  # The proxy refuses connections now.
+                raise
+            self._open_connection(conn)
+
+    def _open_connection(self, conn: green_socket.GreenSocket) -> None:
+        if self.acceptance is Acceptance.SILENT:
+            self._silent_conns.append(conn)
+        elif self.acceptance is Acceptance.RESET:
+            _reset(conn)
+        elif self.acceptance is Acceptance.CLOSE or self.mode in (
+            "refuse",
+            "reset",
+        ):
+            conn.close()
+        else:
+            eventlet.spawn_n(self._forward_connection, conn)
+
+    def _forward_connection(self, conn: green_socket.GreenSocket) -> None:
+        try:
+            target_conn = green_socket.create_connection(self._target)
+        except OSError:
+            conn.close()
+            return
+        self._forward_both_ways(conn, target_conn)
+
+    def _forward_both_ways(
+        self,
+        client_sock: green_socket.GreenSocket,
+        target_sock: green_socket.GreenSocket,
+    ) -> None:
+        """Forwards bytes in both directions until both have ended.
+
+        If bytes to the client were dropped, it does not see the end either.
+        """
+        backward = eventlet.spawn(
+            self._forward, target_sock, client_sock, hides_end=True
+        )
+        self._forward(client_sock, target_sock, hides_end=False)
+        backward.wait()
+        client_sock.close()
+        target_sock.close()
+
+    def _forward(
+        self,
+        source: green_socket.GreenSocket,
+        target: green_socket.GreenSocket,
+        *,
+        hides_end: bool,
+    ) -> None:
+        """Forwards bytes in one direction and applies the current mode.
+
+        Args:
+            source: Where the bytes come from.
+            target: Where they go to.
+            hides_end: Whether the target does not see the end of the source
+                once bytes were dropped.
+        """
+        is_silent = False
+        try:
+            while data := source.recv(65_536):
+                if self.mode == "reset":
+                    _reset(source, target)
+                    return
+                if self.mode == "delay":
+                    eventlet.sleep(0.2)
+                # After bytes were dropped, later bytes must not be forwarded.
+                is_silent = is_silent or self.mode == "silent"
+                if not is_silent:
+                    target.sendall(data)
+        except (OSError, EOFError):
+            pass  # One of the sockets has ended; both are shut down below.
+        finally:
+            is_end_hidden = is_silent and hides_end
+            for sock in (source,) if is_end_hidden else (source, target):
+                with contextlib.suppress(OSError, EOFError):
+                    sock.shutdown(socket.SHUT_RDWR)
+
+
+def _reset(*socks: green_socket.GreenSocket) -> None:
+    """Closes sockets so that their peers see a reset, and not an end."""
+    for sock in socks:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            sock.close()
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -13,6 +13,7 @@
 import fakes
 import harness
 import soak_observations
+import soak_proxy
 import soak_workers
 
 from dandelionlead.core import clock
@@ -46,7 +47,7 @@
         self._configuration_version = 7
         self._workers: list[soak_workers.SoakWorker] = []
         self._entries: dict[str, subprocess.Popen] = {}
-        self._store_proxies: dict[str, soak_workers.FaultProxy] = {}
+        self._store_proxies: dict[str, soak_proxy.FaultProxy] = {}
         self._disturbed_until_s = 0.0
         self._zone_closed_at_s: dict[str, float] = {}
         self._key_revoked_at_s = float("inf")
@@ -108,7 +109,7 @@
     def _add_entry(self, host: str = "") -> None:
         if not host:
             host = harness.next_ip()
-            self._store_proxies[host] = soak_workers.FaultProxy(
+            self._store_proxies[host] = soak_proxy.FaultProxy(
                 self._store.address
             )
         store_address = self._store_proxies[host].address
--- a/tools/soak_workers.py
+++ b/tools/soak_workers.py
@@ -1,119 +1,30 @@
-"""Workers of the soak run, and the proxies that disturb their connections."""
+"""Workers of the soak run."""
 
 from __future__ import annotations
 
 import contextlib
-import socket
-import struct
+import json
+import time
 from collections.abc import Callable
 
 import eventlet
-import eventlet.green.socket as green_socket
 import fakes
+import h11
 import harness
+import soak_proxy
 
 from dandelionlead.http import client
+from dandelionlead.http import disconnect_watcher
+from dandelionlead.http import listener
 from dandelionlead.http import request_reader
 from dandelionlead.http import server
 
-# `l_onoff` and `l_linger` of a socket whose close resets its connection.
-_NO_LINGER = struct.pack("ii", 1, 0)
+_JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
+_NOT_EXECUTED = (b"X-Dandelionlead-Not-Executed", b"1")
+# Priority of each run in a report; calls that name none have this one.
+_PRIORITY = 5
 # One of so many streams of a worker has neither a length nor chunks.
-_UNFRAMED_EVERY = 3
-
-
-class FaultProxy:
-    """Forwards TCP connections to a target and injects network faults.
-
-    Args:
-        target: IP address and port to forward to.
-
-    Attributes:
-        address: IP address and port that the proxy listens on.
-        mode: `pass` (forwards), `delay` (forwards late), `refuse` (closes new
-            connections), `silent` (reads bytes and forwards none) or `reset`
-            (closes all connections).
-    """
-
-    def __init__(self, target: tuple[str, int]) -> None:
-        self.address = (harness.next_ip(), target[1])
-        self.mode = "pass"
-        self._target = target
-        self._sock = eventlet.listen(self.address)
-        eventlet.spawn_n(self._accept_connections)
-
-    def _accept_connections(self) -> None:
-        while True:
-            conn, _ = self._sock.accept()
-            if self.mode in ("refuse", "reset"):
-                conn.close()
-                continue
-            try:
-                target_conn = green_socket.create_connection(self._target)
-            except OSError:
-                conn.close()
-                continue
-            eventlet.spawn_n(self._forward_both_ways, conn, target_conn)
-
-    def _forward_both_ways(
-        self,
-        client_sock: green_socket.GreenSocket,
-        target_sock: green_socket.GreenSocket,
-    ) -> None:
-        """Forwards bytes in both directions until both have ended.
-
-        If bytes to the client were dropped, it does not see the end either.
-        """
-        backward = eventlet.spawn(
-            self._forward, target_sock, client_sock, hides_end=True
-        )
-        self._forward(client_sock, target_sock, hides_end=False)
-        backward.wait()
-        client_sock.close()
-        target_sock.close()
-
-    def _forward(
-        self,
-        source: green_socket.GreenSocket,
-        target: green_socket.GreenSocket,
-        *,
-        hides_end: bool,
-    ) -> None:
-        """Forwards bytes in one direction and applies the current mode.
-
-        Args:
-            source: Where the bytes come from.
-            target: Where they go to.
-            hides_end: Whether the target does not see the end of the source
-                once bytes were dropped.
-        """
-        is_silent = False
-        try:
-            while data := source.recv(65_536):
-                if self.mode == "reset":
-                    _reset(source, target)
-                    return
-                if self.mode == "delay":
-                    eventlet.sleep(0.2)
-                # After bytes were dropped, later bytes must not be forwarded.
-                is_silent = is_silent or self.mode == "silent"
-                if not is_silent:
-                    target.sendall(data)
-        except (OSError, EOFError):
-            pass  # One of the sockets has ended; both are shut down below.
-        finally:
-            is_end_hidden = is_silent and hides_end
-            for sock in (source,) if is_end_hidden else (source, target):
-                with contextlib.suppress(OSError, EOFError):
-                    sock.shutdown(socket.SHUT_RDWR)
-
-
-def _reset(*socks: green_socket.GreenSocket) -> None:
-    """Closes sockets so that their peers see a reset, and not an end."""
-    for sock in socks:
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
-            sock.close()
+UNFRAMED_EVERY = 3
 
 
 class SoakWorker(fakes.FakeWorker):
@@ -124,6 +35,8 @@
         leaving_since_s: When the worker began to leave, in seconds of
             `clock.boottime`; infinite while it stays.
         proxy: The proxy through which entries reach the worker.
+        born_ms: When its process started, in milliseconds of Unix time.
+        is_dead: Whether its process has ended and has not started again.
     """
 
     def __init__(
@@ -148,16 +61,101 @@
         self.leaving_since_s = float("inf")
         self._record_arrival = record_arrival
         self._stream_count = 0
+        self._open_streams: dict[str, _StreamWriter] = {}
+        self.born_ms = _read_unix_ms()
+        self.is_dead = False
         super().__init__((harness.next_ip(), 9000), f"w{number}", service)
         self.stream_length = stream_length
-        self.proxy = FaultProxy(self.address)
+        self.proxy = soak_proxy.FaultProxy(self.address)
         fakes.WORKERS_BY_ADDRESS[f"{self.proxy.address[0]}:9000"] = self
 
     def make_entry(self, state: str = "ready", **fields: object) -> dict:
         """Returns the value of the worker's row in the table `servers`."""
-        address = f"{self.proxy.address[0]}:9000"
-        proxy_fields = {"address": address, "zone": self.zone}
-        return super().make_entry(state, **(proxy_fields | fields))
+        own_fields = {
+            "address": f"{self.proxy.address[0]}:9000",
+            "zone": self.zone,
+            "born": self.born_ms,
+        }
+        return super().make_entry(state, **(own_fields | fields))
+
+    def end_process(
+        self, acceptance: soak_proxy.Acceptance, *, must_end_chunks: bool
+    ) -> dict[str, str]:
+        """Ends as a process that dies: its connections are closed in order.
+
+        So each stream without a length ends like a complete one.
+
+        Args:
+            acceptance: What its address does with new connections afterwards.
+            must_end_chunks: Whether each stream in chunks gets its last chunk
+                before the connection is closed.
+
+        Returns:
+            How each of its streams has ended, by request id.
+        """
+        self.is_dead = True
+        ends: dict[str, str] = {}
+        for request_id, response_writer in self._open_streams.items():
+            end = "with its connection"
+            if isinstance(response_writer, server.ResponseWriter):
+                end = _end_chunks(response_writer, must_end=must_end_chunks)
+            ends[request_id] = (
+                f"{self.worker_id} ended it early, {end}; its address then:"
+                f" {acceptance.value}"
+            )
+        self._listener.close()
+        self.proxy.set_acceptance(acceptance)
+        return ends
+
+    def start_process(self, worker_id: str) -> None:
+        """Starts again after its end, without anything of before."""
+        self.worker_id = worker_id
+        self.born_ms = _read_unix_ms()
+        self.is_dead = False
+        self.behaviour = "ok"
+        self.copied_events.clear()
+        self.migrated_request_ids.clear()
+        self._listener = listener.Listener(self.address, self)
+        eventlet.spawn_n(self._listener.serve_forever)
+        self.proxy.mode = "pass"
+        self.proxy.set_acceptance(soak_proxy.Acceptance.FORWARD)
+
+    def handle(
+        self,
+        request: request_reader.Request,
+        response_writer: server.ResponseWriter,
+    ) -> None:
+        headers = {name.lower(): value for name, value in request.headers}
+        own_id = self.worker_id.encode()
+        expected_id = headers.get(b"x-dandelionlead-expect-instance", own_id)
+        if request.target not in (b"/report", b"/health"):
+            super().handle(request, response_writer)
+        elif expected_id != own_id:
+            response_writer.send_response(421, [_NOT_EXECUTED], b"")
+        elif request.target == b"/report":
+            response_writer.send_response(
+                200, [_JSON_CONTENT_TYPE], self._make_report()
+            )
+        else:
+            identity = (b"X-Dandelionlead-Instance-Id", own_id)
+            is_leaving = self.leaving_since_s < float("inf")
+            response_writer.send_response(
+                503 if is_leaving else 200, [identity], b""
+            )
+
+    def _make_report(self) -> bytes:
+        is_leaving = self.leaving_since_s < float("inf")
+        runs = [
+            [request_id, event_count, event_count, _PRIORITY]
+            for request_id, event_count in self.events_sent.items()
+        ]
+        fields = {
+            "born": self.born_ms,
+            "state": "draining" if is_leaving else "ready",
+            "running": len(runs),
+            "runs": runs,
+        }
+        return json.dumps(fields).encode()
 
     def _send_response(
         self,
@@ -167,11 +165,21 @@
         response_writer: server.ResponseWriter,
     ) -> None:
         self._record_arrival(self, request_id, request.target)
-        if b"/stream/" in request.target:
-            self._stream_count += 1
-            if self._stream_count % _UNFRAMED_EVERY == 0:
-                response_writer = _UnframedWriter(response_writer)
-        super()._send_response(request, request_id, headers, response_writer)
+        if b"/stream/" not in request.target:
+            super()._send_response(
+                request, request_id, headers, response_writer
+            )
+            return
+        self._stream_count += 1
+        if self._stream_count % UNFRAMED_EVERY == 0:
+            response_writer = _UnframedWriter(response_writer)
+        self._open_streams[request_id] = response_writer
+        try:
+            super()._send_response(
+                request, request_id, headers, response_writer
+            )
+        finally:
+            self._open_streams.pop(request_id, None)
 
 
 class _UnframedWriter:
@@ -205,3 +213,24 @@
 
     def end_response(self) -> None:
         """Does nothing: the connection is closed when the handler returns."""
+
+
+_StreamWriter = server.ResponseWriter | _UnframedWriter
+
+
+def _end_chunks(
+    response_writer: server.ResponseWriter, *, must_end: bool
+) -> str:
+    """Sends the last chunk if it must; returns how the stream has ended."""
+    if not must_end or not response_writer.has_started:
+        return "without a last chunk"
+    # The caller may have disconnected, or the stream may be whole.
+    with contextlib.suppress(
+        disconnect_watcher.CallerDisconnectedError, h11.LocalProtocolError
+    ):
+        response_writer.end_response()
+    return "with a last chunk"
+
+
+def _read_unix_ms() -> int:
+    return int(time.time() * 1e3)
