Soak: entries can be cut from workers while callers still reach them

Callers got 503 from machines that had lost all paths to the workers, and were still sent there; the soak had no such fault. Callers that keep to listed addresses count their first tries.

How entries are cut: on loopback all connections have one source address, and entries copy the list of workers from each other, so neither source nor listed address tells entries apart. Entries run in a small program that changes the port of workers, so each has a listening socket of its own at each worker's proxy; it is closed, or its queue is full, so that the kernel drops connection attempts.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import pathlib
 import signal
 import sys
@@ -36,8 +37,11 @@
 from dandelionlead.core import clock  # noqa: E402
 
 _EVIDENCE_FOLDER = _ROOT / "build" / "soak"
-_ENTRY_COUNT = 4
 _CALLER_COUNT = 10
+# Callers that connect to listed addresses only, while paths are cut.
+_LIST_CALLER_COUNT = 24
+# Times for which callers keep a list of addresses: some three times as long.
+_LIST_AGES_S = (2.0, 2.0, 6.0)
 _START_TIMEOUT_S = 20.0
 _RECOVERY_TIMEOUT_S = 15.0
 # Guaranteed limits on the time from a change in the store to its effect.
@@ -74,7 +78,7 @@
         for zone in soak_system.ZONES:
             for service in ("engines", "engines", "plain"):
                 self._add_worker(service, zone)
-        for _ in range(_ENTRY_COUNT):
+        for _ in range(soak_system.ENTRY_COUNT):
             self._add_entry()
         self._wait_until(
             self._are_all_entries_ready,
@@ -85,6 +89,10 @@
             eventlet.spawn_n(self._send_requests)
         deadline_s = clock.boottime() + duration_s
         eventlet.spawn_n(self.end_engines, deadline_s)
+        if self._has_paths:
+            eventlet.spawn_n(self.cut_paths, deadline_s)
+            for _ in range(_LIST_CALLER_COUNT):
+                eventlet.spawn_n(self._send_first_tries)
         while clock.boottime() < deadline_s:
             self.inject_fault()
             eventlet.sleep(self._rng.uniform(*_PAUSE_RANGE_S))
@@ -99,6 +107,7 @@
         )
         self._is_sending = False
         self._terminate_entries()
+        self.observations.check_cuts()
         self.observations.check_runs()
         self.observations.check_logs(self._folder)
 
@@ -136,6 +145,48 @@
                 self._send_request(self._rng.choice(hosts))
             eventlet.sleep(self._rng.uniform(0.02, 0.2))
 
+    def _send_first_tries(self) -> None:
+        """Sends requests to listed entries and counts first tries."""
+        hosts: list[str] = []
+        listed_until_s = 0.0
+        while self._is_sending:
+            if clock.boottime() > listed_until_s:
+                hosts = self._read_listed_hosts() or hosts
+                list_age_s = self._rng.choice(_LIST_AGES_S)
+                listed_until_s = clock.boottime() + list_age_s
+            if hosts:
+                self._send_first_try(self._rng.choice(hosts))
+            eventlet.sleep(self._rng.uniform(0.02, 0.2))
+
+    def _read_listed_hosts(self) -> list[str]:
+        """Returns the hosts that a random entry lists; none if it fails."""
+        host = self._choose_host()
+        with (
+            eventlet.Timeout(1.0, False),
+            contextlib.suppress(ConnectionError, ValueError, KeyError),
+        ):
+            addresses = harness.list_addresses_at(host or "")
+            return [address.partition(":")[0] for address in addresses]
+        return []
+
+    def _send_first_try(self, host: str) -> None:
+        kind = self._rng.choice(list(_PATHS))
+        sent_at_s = clock.boottime()
+        was_in_touch = self._is_in_touch(host, sent_at_s)
+        is_served = self._send_request(host, kind) == 200
+        if was_in_touch and self._is_in_touch(host, sent_at_s):
+            self.observations.record_first_try(
+                host, kind, sent_at_s, is_served=is_served
+            )
+
+    def _is_in_touch(self, host: str, sent_at_s: float) -> bool:
+        """Returns whether an entry runs and reaches the store for some time."""
+        return (
+            host in self._entries
+            and self._broken_at_s[host] + _SETTLING_S < sent_at_s
+            and self._store_proxies[host].mode == "pass"
+        )
+
     def _send_request(self, host: str, kind: str = "") -> int:
         """Sends a request to an entry and checks the response.
 
@@ -236,6 +287,7 @@
     minutes: float = 1.0,
     logs: pathlib.Path | None = None,
     keep: pathlib.Path = _EVIDENCE_FOLDER,
+    cuts: bool = False,
 ) -> int:
     """Performs one soak run; the exit code is 1 if a guarantee was violated.
 
@@ -247,13 +299,15 @@
         logs: Directory for the logs of the entries; without it, the logs are
             deleted at the end.
         keep: Directory for the folders that violations leave.
+        cuts: Whether entries are cut from workers for seconds. Off by default:
+            a cut entry does not serve its callers yet.
     """
     with tempfile.TemporaryDirectory() as folder:
         log_folder = pathlib.Path(folder)
         if logs is not None:
             log_folder = logs
             log_folder.mkdir(parents=True, exist_ok=True)
-        soak = Soak(seed, log_folder)
+        soak = Soak(seed, log_folder, has_paths=cuts)
         try:
             soak.run(minutes * 60)
         finally:
@@ -263,6 +317,8 @@
         soak.observations.response_counts.items()
     ):
         print(f"{kind} {status}: {count}")
+    for cut in soak.observations.cuts:
+        print(f"cut: {cut}")
     for text in soak.observations.violations:
         print(f"violation: {text}")
     if evidence_folder is not None:
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -4,8 +4,10 @@
 
 import signal
 import subprocess
+from collections.abc import Collection
 
 import eventlet
+import soak_cuts
 import soak_proxy
 import soak_system
 import soak_workers
@@ -28,6 +30,21 @@
     soak_proxy.Acceptance.SILENT,
     soak_proxy.Acceptance.RESET,
 )
+# Time from the end of one cut of paths to the start of the next.
+_CUT_PAUSE_RANGE_S = (0.5, 2.0)
+_CUT_DURATION_RANGE_S = (6.0, 10.0)
+# Services to which paths are cut; those to all are cut most often.
+_CUT_SERVICES = (
+    ("engines", "plain"),
+    ("engines", "plain"),
+    ("engines",),
+    ("plain",),
+)
+# Kinds of requests by the service that they need.
+_KINDS_BY_SERVICE = {
+    "engines": ("draft", "check"),
+    "plain": ("order", "stock"),
+}
 
 
 class SoakFaults(soak_system.SoakSystem):
@@ -75,8 +92,52 @@
             self._worker_count += 1
             worker_id = f"w{self._worker_count}"
         worker.start_process(worker_id)
-        self._workers.append(worker)
-        self._store.put_row("servers", worker_id, worker.make_entry())
+        self._list_worker(worker)
+
+    def cut_paths(self, deadline_s: float) -> None:
+        """Cuts entries from workers, once after the other, until a deadline.
+
+        Callers, the store and other entries still reach these entries.
+
+        Args:
+            deadline_s: Deadline in seconds of `clock.boottime`.
+        """
+        while True:
+            eventlet.sleep(self._rng.uniform(*_CUT_PAUSE_RANGE_S))
+            duration_s = self._rng.uniform(*_CUT_DURATION_RANGE_S)
+            if clock.boottime() + duration_s > deadline_s:
+                return
+            cut = self._cut_some_paths()
+            eventlet.sleep(duration_s)
+            cut.ended_s = clock.boottime()
+            self._set_cuts({}, ())
+
+    def _cut_some_paths(self) -> soak_cuts.CutPaths:
+        """Cuts some entries from all workers or from those of one service."""
+        entry_count = self._rng.choice((1, 2))
+        hosts = self._rng.sample(list(self._path_ports), entry_count)
+        services = self._rng.choice(_CUT_SERVICES)
+        way = self._rng.choice(list(soak_proxy.Cut))
+        self._set_cuts(
+            {self._path_ports[host]: way for host in hosts}, services
+        )
+        kinds = [
+            kind for service in services for kind in _KINDS_BY_SERVICE[service]
+        ]
+        description = (
+            f"{', '.join(hosts)} cut from {', '.join(services)}: {way.value}"
+        )
+        self.observations.add_fault(description)
+        cut = soak_cuts.CutPaths(hosts, kinds, description, clock.boottime())
+        self.observations.cuts.append(cut)
+        return cut
+
+    def _set_cuts(
+        self, cuts: dict[int, soak_proxy.Cut], services: Collection[str]
+    ) -> None:
+        self._cuts, self._cut_services = cuts, services
+        for worker in self._workers:
+            self._apply_cuts(worker)
 
     def _kill_entry(self) -> None:
         host = self._choose_host()
--- a/tools/soak_observations.py
+++ b/tools/soak_observations.py
@@ -6,6 +6,7 @@
 import pathlib
 
 import harness
+import soak_cuts
 
 from dandelionlead.core import clock
 
@@ -27,6 +28,7 @@
         run_counts: Number of times that each request id reached a worker.
         not_run_statuses: HTTP status by request id, for each response which
             states that the request did not run.
+        cuts: Cuts of paths from entries to workers.
         early_ends: How workers ended streams early, by request id.
         max_run_counts: Number of times that each request id may reach a worker;
             contains no requests for streams.
@@ -39,6 +41,7 @@
         self.response_counts: dict[tuple[str, int], int] = {}
         self.run_counts: dict[str, int] = {}
         self.not_run_statuses: dict[str, int] = {}
+        self.cuts: list[soak_cuts.CutPaths] = []
         self.early_ends: dict[str, str] = {}
         self.max_run_counts: dict[str, int] = {}
 
@@ -61,6 +64,19 @@
         if kind in _MAX_RUNS:
             self.max_run_counts[request_id] = _MAX_RUNS[kind]
 
+    def record_first_try(
+        self, host: str, kind: str, sent_at_s: float, *, is_served: bool
+    ) -> None:
+        """Counts a first try for each cut; see `soak_cuts`."""
+        for cut in self.cuts:
+            cut.record_try(host, kind, sent_at_s, is_served=is_served)
+
+    def check_cuts(self) -> None:
+        """Records a violation for each cut that callers noticed too much."""
+        for cut in self.cuts:
+            if cut.is_violated():
+                self.add_violation(str(cut))
+
     def check_runs(self) -> None:
         """Records a violation for each request that should not have run.
 
--- a/tools/soak_proxy.py
+++ b/tools/soak_proxy.py
@@ -25,11 +25,22 @@
     RESET = "accepts and resets it"
 
 
+class Cut(enum.Enum):
+    """How a path through a proxy is cut."""
+
+    SILENT = "nothing passes"
+    REFUSE = "new connections are refused, old ones are reset"
+    REFUSE_NEW = "new connections are refused, old ones go on"
+
+
 class FaultProxy:
     """Forwards TCP connections to a target and injects network faults.
 
     Args:
         target: IP address and port to forward to.
+        path_count: Number of further ports that the proxy listens on, which
+            follow the port of the target. Each is a path that can be cut by
+            itself.
 
     Attributes:
         address: IP address and port that the proxy listens on.
@@ -39,43 +50,73 @@
             (closes all connections).
     """
 
-    def __init__(self, target: tuple[str, int]) -> None:
+    def __init__(self, target: tuple[str, int], path_count: int = 0) -> None:
         self.address = (harness.next_ip(), target[1])
         self.acceptance = Acceptance.FORWARD
         self.mode = "pass"
         self._target = target
+        self._ports = range(target[1], target[1] + path_count + 1)
+        self._cuts: dict[int, Cut] = {}
+        # Listening socket of each port, with what fills its queue.
+        self._socks: dict[int, list[green_socket.GreenSocket]] = {}
         self._silent_conns: list[green_socket.GreenSocket] = []
-        self._listen()
+        for port in self._ports:
+            self._listen(port)
 
     def set_acceptance(self, acceptance: Acceptance) -> None:
         """Changes what happens to new connections; open ones are left as is.
 
         Connections that were accepted and kept silent are closed.
         """
-        is_listening = self.acceptance is not Acceptance.REFUSE
         self.acceptance = acceptance
         while self._silent_conns:
             self._silent_conns.pop().close()
-        if acceptance is Acceptance.REFUSE:
-            self._sock.close()
-        elif not is_listening:
-            self._listen()
+        for port in self._ports:
+            self._listen(port)
 
-    def _listen(self) -> None:
-        self._sock = eventlet.listen(self.address)
-        eventlet.spawn_n(self._accept_connections, self._sock)
+    def set_cuts(self, cuts: dict[int, Cut]) -> None:
+        """Replaces the cuts of the paths.
 
-    def _accept_connections(self, sock: green_socket.GreenSocket) -> None:
+        Args:
+            cuts: The cuts by port; ports that are not in it forward.
+        """
+        changed_ports = [
+            port
+            for port in self._ports
+            if self._cuts.get(port) is not cuts.get(port)
+        ]
+        self._cuts = dict(cuts)
+        for port in changed_ports:
+            self._listen(port)
+
+    def _listen(self, port: int) -> None:
+        """Opens the listening socket of a port anew, as its faults require."""
+        for sock in self._socks.pop(port, ()):
+            sock.close()
+        address = (self.address[0], port)
+        cut = self._cuts.get(port)
+        if cut is Cut.SILENT:
+            self._socks[port] = _open_full_listener(address)
+        elif cut is None and self.acceptance is not Acceptance.REFUSE:
+            sock = eventlet.listen(address)
+            self._socks[port] = [sock]
+            eventlet.spawn_n(self._accept_connections, sock, port)
+
+    def _accept_connections(
+        self, sock: green_socket.GreenSocket, port: int
+    ) -> None:
         while True:
             try:
                 conn, _ = sock.accept()
             except OSError:
                 if sock.fileno() < 0:
-                    return  # The proxy refuses connections now.
+                    return  # Another socket has replaced it, or none.
                 raise
-            self._open_connection(conn)
+            self._open_connection(conn, port)
 
-    def _open_connection(self, conn: green_socket.GreenSocket) -> None:
+    def _open_connection(
+        self, conn: green_socket.GreenSocket, port: int
+    ) -> None:
         if self.acceptance is Acceptance.SILENT:
             self._silent_conns.append(conn)
         elif self.acceptance is Acceptance.RESET:
@@ -86,29 +127,32 @@
         ):
             conn.close()
         else:
-            eventlet.spawn_n(self._forward_connection, conn)
+            eventlet.spawn_n(self._forward_connection, conn, port)
 
-    def _forward_connection(self, conn: green_socket.GreenSocket) -> None:
+    def _forward_connection(
+        self, conn: green_socket.GreenSocket, port: int
+    ) -> None:
         try:
             target_conn = green_socket.create_connection(self._target)
         except OSError:
             conn.close()
             return
-        self._forward_both_ways(conn, target_conn)
+        self._forward_both_ways(conn, target_conn, port)
 
     def _forward_both_ways(
         self,
         client_sock: green_socket.GreenSocket,
         target_sock: green_socket.GreenSocket,
+        port: int,
     ) -> None:
         """Forwards bytes in both directions until both have ended.
 
         If bytes to the client were dropped, it does not see the end either.
         """
         backward = eventlet.spawn(
-            self._forward, target_sock, client_sock, hides_end=True
+            self._forward, target_sock, client_sock, port, hides_end=True
         )
-        self._forward(client_sock, target_sock, hides_end=False)
+        self._forward(client_sock, target_sock, port, hides_end=False)
         backward.wait()
         client_sock.close()
         target_sock.close()
@@ -117,6 +161,7 @@
         self,
         source: green_socket.GreenSocket,
         target: green_socket.GreenSocket,
+        port: int,
         *,
         hides_end: bool,
     ) -> None:
@@ -125,19 +170,23 @@
         Args:
             source: Where the bytes come from.
             target: Where they go to.
+            port: Port at which the connection was accepted.
             hides_end: Whether the target does not see the end of the source
                 once bytes were dropped.
         """
         is_silent = False
         try:
             while data := source.recv(65_536):
-                if self.mode == "reset":
+                cut = self._cuts.get(port)
+                if self.mode == "reset" or cut is Cut.REFUSE:
                     _reset(source, target)
                     return
                 if self.mode == "delay":
                     eventlet.sleep(0.2)
                 # After bytes were dropped, later bytes must not be forwarded.
-                is_silent = is_silent or self.mode == "silent"
+                is_silent = (
+                    is_silent or self.mode == "silent" or cut is Cut.SILENT
+                )
                 if not is_silent:
                     target.sendall(data)
         except (OSError, EOFError):
@@ -149,6 +198,18 @@
                     sock.shutdown(socket.SHUT_RDWR)
 
 
+def _open_full_listener(
+    address: tuple[str, int],
+) -> list[green_socket.GreenSocket]:
+    """Opens a listening socket whose queue is full.
+
+    The kernel drops what arrives for it, so that a peer that connects gets no
+    response. The second socket that is returned fills the queue.
+    """
+    sock = eventlet.listen(address, backlog=0)
+    return [sock, green_socket.create_connection(address)]
+
+
 def _reset(*socks: green_socket.GreenSocket) -> None:
     """Closes sockets so that their peers see a reset, and not an end."""
     for sock in socks:
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import abc
+import itertools
 import pathlib
 import random
 import signal
 import subprocess
 from collections.abc import Callable
+from collections.abc import Collection
 
 import eventlet
 import fakes
@@ -18,12 +20,14 @@
 
 from dandelionlead.core import clock
 
+ENTRY_COUNT = 4
 EVENT_COUNT = 40
 ZONES = ("z-a", "z-b")
 # Time from the draining state of a reclaimed worker until it is unreachable.
 RECLAIM_NOTICE_S = 1.5
 TERMINATION_TIMEOUT_S = 10.0
 FAULT_DURATION_RANGE_S = (0.3, 3.0)
+_PATH_PROGRAM = pathlib.Path(__file__).resolve().parent / "soak_entry.py"
 _ROUTE_TIMEOUT_MS = 12_000
 
 
@@ -33,12 +37,16 @@
     Args:
         seed: Seed of the faults, their times and the requests.
         folder: Directory for the settings and logs of the entries.
+        has_paths: Whether each entry reaches the workers by a path of its own,
+            which can be cut.
 
     Attributes:
         observations: Results of requests, and violations of guarantees.
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self, seed: int, folder: pathlib.Path, *, has_paths: bool = False
+    ) -> None:
         self.observations = soak_observations.Observations()
         self._rng = random.Random(seed)
         self._folder = folder
@@ -51,6 +59,13 @@
         self._disturbed_until_s = 0.0
         self._zone_closed_at_s: dict[str, float] = {}
         self._key_revoked_at_s = float("inf")
+        # Port of each entry's path to the workers, by the entry's IP address.
+        self._path_ports: dict[str, int] = {}
+        self._unused_path_ports = itertools.count(soak_workers.PORT + 1)
+        self._has_paths = has_paths
+        # Paths that are cut at present, and the services that they lead to.
+        self._cuts: dict[int, soak_proxy.Cut] = {}
+        self._cut_services: Collection[str] = ()
         self._is_sending = True
         self._worker_count = 0
         # Times of the last SIGTERM to each entry that has not started again,
@@ -102,20 +117,37 @@
             zone,
             self._worker_count,
             EVENT_COUNT,
+            ENTRY_COUNT if self._has_paths else 0,
         )
+        self._list_worker(worker)
+
+    def _list_worker(self, worker: soak_workers.SoakWorker) -> None:
+        """Adds a worker that has started to the list of workers."""
         self._workers.append(worker)
+        self._apply_cuts(worker)
         self._store.put_row("servers", worker.worker_id, worker.make_entry())
 
+    def _apply_cuts(self, worker: soak_workers.SoakWorker) -> None:
+        is_cut = worker.service in self._cut_services
+        worker.proxy.set_cuts(self._cuts if is_cut else {})
+
     def _add_entry(self, host: str = "") -> None:
         if not host:
             host = harness.next_ip()
             self._store_proxies[host] = soak_proxy.FaultProxy(
                 self._store.address
             )
+            self._path_ports[host] = next(self._unused_path_ports)
         store_address = self._store_proxies[host].address
         self._broken_at_s[host] = clock.boottime()
+        options: dict[str, object] = {}
+        if self._has_paths:
+            options["program"] = (
+                str(_PATH_PROGRAM),
+                str(self._path_ports[host]),
+            )
         self._entries[host] = harness.start_entry_program(
-            host, store_address, self._folder
+            host, store_address, self._folder, **options
         )
 
     def _mark_disturbed(self, duration_s: float) -> None:
--- a/tools/soak_workers.py
+++ b/tools/soak_workers.py
@@ -19,6 +19,8 @@
 from dandelionlead.http import request_reader
 from dandelionlead.http import server
 
+# Port of all workers.
+PORT = 9000
 _JSON_CONTENT_TYPE = (b"Content-Type", b"application/json")
 _NOT_EXECUTED = (b"X-Dandelionlead-Not-Executed", b"1")
 # Priority of each run in a report; calls that name none have this one.
@@ -46,6 +48,7 @@
         zone: str,
         number: int,
         stream_length: int,
+        path_count: int = 0,
     ) -> None:
         """Starts a worker.
 
@@ -56,6 +59,7 @@
             zone: Availability zone.
             number: Number for its id.
             stream_length: Number of events in a stream.
+            path_count: Number of further paths through its proxy.
         """
         self.zone = zone
         self.leaving_since_s = float("inf")
@@ -64,15 +68,15 @@
         self._open_streams: dict[str, _StreamWriter] = {}
         self.born_ms = _read_unix_ms()
         self.is_dead = False
-        super().__init__((harness.next_ip(), 9000), f"w{number}", service)
+        super().__init__((harness.next_ip(), PORT), f"w{number}", service)
         self.stream_length = stream_length
-        self.proxy = soak_proxy.FaultProxy(self.address)
-        fakes.WORKERS_BY_ADDRESS[f"{self.proxy.address[0]}:9000"] = self
+        self.proxy = soak_proxy.FaultProxy(self.address, path_count)
+        fakes.WORKERS_BY_ADDRESS[f"{self.proxy.address[0]}:{PORT}"] = self
 
     def make_entry(self, state: str = "ready", **fields: object) -> dict:
         """Returns the value of the worker's row in the table `servers`."""
         own_fields = {
-            "address": f"{self.proxy.address[0]}:9000",
+            "address": f"{self.proxy.address[0]}:{PORT}",
             "zone": self.zone,
             "born": self.born_ms,
         }
