--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -34,6 +34,8 @@
 
     Attributes:
         is_complete: Whether the caller received the stream up to its end.
+        ended_with_connection: Whether the last engine's stream had no other end
+            than that of its connection.
         failure: Why an engine's response last broke off; None if no response
             broke off.
         event_count: Number of events that were forwarded.
@@ -49,6 +51,7 @@
 
     __slots__ = (
         "is_complete",
+        "ended_with_connection",
         "failure",
         "event_count",
         "first_event_s",
@@ -59,6 +62,7 @@
 
     def __init__(self) -> None:
         self.is_complete = False
+        self.ended_with_connection = False
         self.failure: errors.Failure | None = None
         self.event_count = 0
         self.first_event_s = 0.0
@@ -253,6 +257,9 @@
             if isinstance(data, errors.Failure):
                 return data
             if data is client.BODY_END:
+                self.outcome.ended_with_connection = (
+                    current_response.head.ends_with_connection
+                )
                 failure = self._find_truncation(current_response)
                 if failure is None:
                     self._start_response(head)
@@ -284,12 +291,13 @@
         was requested, such a body is complete only if the engine states that it
         did not stop the run.
         """
+        ends_with_connection = ended_response.head.ends_with_connection
         failure = self._stream_checks.find_truncation(
-            ends_with_connection=ended_response.head.ends_with_connection
+            ends_with_connection=ends_with_connection
         )
-        if failure is not None or not ended_response.head.ends_with_connection:
+        if failure is not None:
             return failure
-        if self._run.stop_event is not None:
+        if ends_with_connection and self._run.stop_event is not None:
             stop_result = self._resumption.await_stop()
             if stop_result is not runs.StopResult.NOT_STOPPED:
                 return errors.Failure(
@@ -297,7 +305,21 @@
                     "the run may have been stopped to migrate it:"
                     f" {stop_result.value}",
                 )
-        return self._sender.find_broken_end(ended_response)
+        return self._sender.find_broken_end(
+            ended_response,
+            self._run.admitted,
+            self._count_arrived_events(),
+            is_leaving=self._scheduler.is_leaving(ended_response.endpoint),
+        )
+
+    def _count_arrived_events(self) -> int:
+        """Returns how many events of the generation have arrived.
+
+        Engines number the events of a generation, also of one that is resumed,
+        so that the last id is the number of all events.
+        """
+        checks = self._stream_checks
+        return max(checks.last_event_id, checks.event_count)
 
     def _start_response(self, head: calls.EndpointResponseHead) -> None:
         """Sends the response head to the caller unless it was sent already.
