Soak: no two requests are alike

Engines that end while they run a request count as crashed by it, and the soak's requests of a kind all had the same path, caller and body: after three such ends they were refused with 422, as promised.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -57,12 +57,12 @@
 _DEADLINES_MS = (3_000, 3_000, 12_000)
 # Time without an answer, at a process that stops, that counts as a loss.
 _LOSS_SLACK_S = 0.4
-# Path of the requests, by kind of request.
-_PATHS = {
-    "order": "/order/1",
-    "stock": "/stock/1",
-    "draft": "/stream/draft/1",
-    "check": "/stream/check/1",
+# Start of the path of the requests, by kind of request.
+_PATH_PREFIXES = {
+    "order": "/order/",
+    "stock": "/stock/",
+    "draft": "/stream/draft/",
+    "check": "/stream/check/",
 }
 
 
@@ -170,7 +170,7 @@
         return []
 
     def _send_first_try(self, host: str) -> None:
-        kind = self._rng.choice(list(_PATHS))
+        kind = self._rng.choice(list(_PATH_PREFIXES))
         sent_at_s = clock.boottime()
         was_in_touch = self._is_in_touch(host, sent_at_s)
         is_served = self._send_request(host, kind) == 200
@@ -192,20 +192,23 @@
 
         Args:
             host: IP address of the entry.
-            kind: Kind of the request, a key of `_PATHS`; random if empty.
+            kind: Kind of the request, a key of `_PATH_PREFIXES`; random if
+                empty.
 
         Returns:
             The HTTP status; 0 if there was no complete response.
         """
-        kind = kind or self._rng.choice(list(_PATHS))
+        kind = kind or self._rng.choice(list(_PATH_PREFIXES))
         sent_at_s = clock.boottime()
         deadline_ms = _DEADLINES_MS[0]
-        if "/stream/" in _PATHS[kind]:
+        if "/stream/" in _PATH_PREFIXES[kind]:
             deadline_ms = self._rng.choice(_DEADLINES_MS)
         try:
             pending_request = harness.ClientRequest(
                 (host, 8740),
-                _PATHS[kind],
+                # Requests that are alike would be refused once engines have
+                # ended several times while they ran one.
+                _PATH_PREFIXES[kind] + str(next(self._request_numbers)),
                 body=b"of " + kind.encode(),
                 deadline_ms=deadline_ms,
             )
@@ -259,7 +262,7 @@
         return self._are_all_entries_ready() and all(
             self._send_request(host, kind) == 200
             for host in list(self._entries)
-            for kind in _PATHS
+            for kind in _PATH_PREFIXES
         )
 
     def _remove_faults(self) -> None:
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -67,6 +67,7 @@
         self._cuts: dict[int, soak_proxy.Cut] = {}
         self._cut_services: Collection[str] = ()
         self._is_sending = True
+        self._request_numbers = itertools.count(1)
         self._worker_count = 0
         # Times of the last SIGTERM to each entry that has not started again,
         # and of the last end or continuation of each entry that was killed or
