--- a/tools/soak.py
+++ b/tools/soak.py
@@ -291,6 +291,7 @@
     logs: pathlib.Path | None = None,
     keep: pathlib.Path = _EVIDENCE_FOLDER,
     cuts: bool = False,
+    unanswered_ends: bool = False,
 ) -> int:
     """Performs one soak run; the exit code is 1 if a guarantee was violated.
 
@@ -304,13 +305,21 @@
         keep: Directory for the folders that violations leave.
         cuts: Whether entries are cut from workers for seconds. Off by default:
             a cut entry does not serve its callers yet.
+        unanswered_ends: Whether an address may be silent after its engine has
+            ended streams early with a last chunk. Off by default: entries take
+            such a last chunk as the engine's own word.
     """
     with tempfile.TemporaryDirectory() as folder:
         log_folder = pathlib.Path(folder)
         if logs is not None:
             log_folder = logs
             log_folder.mkdir(parents=True, exist_ok=True)
-        soak = Soak(seed, log_folder, has_paths=cuts)
+        soak = Soak(
+            seed,
+            log_folder,
+            has_paths=cuts,
+            has_unanswered_ends=unanswered_ends,
+        )
         try:
             soak.run(minutes * 60)
         finally:
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -39,13 +39,20 @@
         folder: Directory for the settings and logs of the entries.
         has_paths: Whether each entry reaches the workers by a path of its own,
             which can be cut.
+        has_unanswered_ends: Whether the address of an engine may be silent
+            after the engine has ended streams early with a last chunk.
 
     Attributes:
         observations: Results of requests, and violations of guarantees.
     """
 
     def __init__(
-        self, seed: int, folder: pathlib.Path, *, has_paths: bool = False
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        *,
+        has_paths: bool = False,
+        has_unanswered_ends: bool = False,
     ) -> None:
         self.observations = soak_observations.Observations()
         self._rng = random.Random(seed)
@@ -63,6 +70,7 @@
         self._path_ports: dict[str, int] = {}
         self._unused_path_ports = itertools.count(soak_workers.PORT + 1)
         self._has_paths = has_paths
+        self._has_unanswered_ends = has_unanswered_ends
         # Paths that are cut at present, and the services that they lead to.
         self._cuts: dict[int, soak_proxy.Cut] = {}
         self._cut_services: Collection[str] = ()
