--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import pathlib
 import signal
 import sys
@@ -28,14 +29,19 @@
 import cyclopts  # noqa: E402
 import eventlet  # noqa: E402
 import harness  # noqa: E402
+import soak_evidence  # noqa: E402
 import soak_faults  # noqa: E402
 import soak_system  # noqa: E402
 import soak_workers  # noqa: E402
 
 from dandelionlead.core import clock  # noqa: E402
 
-_ENTRY_COUNT = 4
+_EVIDENCE_FOLDER = _ROOT / "build" / "soak"
 _CALLER_COUNT = 10
+# Callers that connect to listed addresses only, while paths are cut.
+_LIST_CALLER_COUNT = 24
+# Times for which callers keep a list of addresses: some three times as long.
+_LIST_AGES_S = (2.0, 2.0, 6.0)
 _START_TIMEOUT_S = 20.0
 _RECOVERY_TIMEOUT_S = 15.0
 # Guaranteed limits on the time from a change in the store to its effect.
@@ -51,12 +57,12 @@
 _DEADLINES_MS = (3_000, 3_000, 12_000)
 # Time without an answer, at a process that stops, that counts as a loss.
 _LOSS_SLACK_S = 0.4
-# Path of the requests, by kind of request.
-_PATHS = {
-    "order": "/order/1",
-    "stock": "/stock/1",
-    "draft": "/stream/draft/1",
-    "check": "/stream/check/1",
+# Start of the path of the requests, by kind of request.
+_PATH_PREFIXES = {
+    "order": "/order/",
+    "stock": "/stock/",
+    "draft": "/stream/draft/",
+    "check": "/stream/check/",
 }
 
 
@@ -72,7 +78,7 @@
         for zone in soak_system.ZONES:
             for service in ("engines", "engines", "plain"):
                 self._add_worker(service, zone)
-        for _ in range(_ENTRY_COUNT):
+        for _ in range(soak_system.ENTRY_COUNT):
             self._add_entry()
         self._wait_until(
             self._are_all_entries_ready,
@@ -82,6 +88,11 @@
         for _ in range(_CALLER_COUNT):
             eventlet.spawn_n(self._send_requests)
         deadline_s = clock.boottime() + duration_s
+        eventlet.spawn_n(self.end_engines, deadline_s)
+        if self._has_paths:
+            eventlet.spawn_n(self.cut_paths, deadline_s)
+            for _ in range(_LIST_CALLER_COUNT):
+                eventlet.spawn_n(self._send_first_tries)
         while clock.boottime() < deadline_s:
             self.inject_fault()
             eventlet.sleep(self._rng.uniform(*_PAUSE_RANGE_S))
@@ -96,6 +107,7 @@
         )
         self._is_sending = False
         self._terminate_entries()
+        self.observations.check_cuts()
         self.observations.check_runs()
         self.observations.check_logs(self._folder)
 
@@ -133,25 +145,70 @@
                 self._send_request(self._rng.choice(hosts))
             eventlet.sleep(self._rng.uniform(0.02, 0.2))
 
+    def _send_first_tries(self) -> None:
+        """Sends requests to listed entries and counts first tries."""
+        hosts: list[str] = []
+        listed_until_s = 0.0
+        while self._is_sending:
+            if clock.boottime() > listed_until_s:
+                hosts = self._read_listed_hosts() or hosts
+                list_age_s = self._rng.choice(_LIST_AGES_S)
+                listed_until_s = clock.boottime() + list_age_s
+            if hosts:
+                self._send_first_try(self._rng.choice(hosts))
+            eventlet.sleep(self._rng.uniform(0.02, 0.2))
+
+    def _read_listed_hosts(self) -> list[str]:
+        """Returns the hosts that a random entry lists; none if it fails."""
+        host = self._choose_host()
+        with (
+            eventlet.Timeout(1.0, False),
+            contextlib.suppress(ConnectionError, ValueError, KeyError),
+        ):
+            addresses = harness.list_addresses_at(host or "")
+            return [address.partition(":")[0] for address in addresses]
+        return []
+
+    def _send_first_try(self, host: str) -> None:
+        kind = self._rng.choice(list(_PATH_PREFIXES))
+        sent_at_s = clock.boottime()
+        was_in_touch = self._is_in_touch(host, sent_at_s)
+        is_served = self._send_request(host, kind) == 200
+        if was_in_touch and self._is_in_touch(host, sent_at_s):
+            self.observations.record_first_try(
+                host, kind, sent_at_s, is_served=is_served
+            )
+
+    def _is_in_touch(self, host: str, sent_at_s: float) -> bool:
+        """Returns whether an entry runs and reaches the store for some time."""
+        return (
+            host in self._entries
+            and self._broken_at_s[host] + _SETTLING_S < sent_at_s
+            and self._store_proxies[host].mode == "pass"
+        )
+
     def _send_request(self, host: str, kind: str = "") -> int:
         """Sends a request to an entry and checks the response.
 
         Args:
             host: IP address of the entry.
-            kind: Kind of the request, a key of `_PATHS`; random if empty.
+            kind: Kind of the request, a key of `_PATH_PREFIXES`; random if
+                empty.
 
         Returns:
             The HTTP status; 0 if there was no complete response.
         """
-        kind = kind or self._rng.choice(list(_PATHS))
+        kind = kind or self._rng.choice(list(_PATH_PREFIXES))
         sent_at_s = clock.boottime()
         deadline_ms = _DEADLINES_MS[0]
-        if "/stream/" in _PATHS[kind]:
+        if "/stream/" in _PATH_PREFIXES[kind]:
             deadline_ms = self._rng.choice(_DEADLINES_MS)
         try:
             pending_request = harness.ClientRequest(
                 (host, 8740),
-                _PATHS[kind],
+                # Requests that are alike would be refused once engines have
+                # ended several times while they ran one.
+                _PATH_PREFIXES[kind] + str(next(self._request_numbers)),
                 body=b"of " + kind.encode(),
                 deadline_ms=deadline_ms,
             )
@@ -205,7 +262,7 @@
         return self._are_all_entries_ready() and all(
             self._send_request(host, kind) == 200
             for host in list(self._entries)
-            for kind in _PATHS
+            for kind in _PATH_PREFIXES
         )
 
     def _remove_faults(self) -> None:
@@ -232,31 +289,52 @@
     seed: int = 1,
     minutes: float = 1.0,
     logs: pathlib.Path | None = None,
+    keep: pathlib.Path = _EVIDENCE_FOLDER,
+    cuts: bool = False,
+    unanswered_ends: bool = False,
 ) -> int:
     """Performs one soak run; the exit code is 1 if a guarantee was violated.
 
+    Violations leave a folder with their texts, the faults and the logs.
+
     Args:
         seed: Seed of the faults, their times and the requests.
         minutes: Minutes for which faults are injected.
         logs: Directory for the logs of the entries; without it, the logs are
             deleted at the end.
+        keep: Directory for the folders that violations leave.
+        cuts: Whether entries are cut from workers for seconds. Off by default:
+            a cut entry does not serve its callers yet.
+        unanswered_ends: Whether an address may be silent after its engine has
+            ended streams early with a last chunk. Off by default: entries take
+            such a last chunk as the engine's own word.
     """
     with tempfile.TemporaryDirectory() as folder:
         log_folder = pathlib.Path(folder)
         if logs is not None:
             log_folder = logs
             log_folder.mkdir(parents=True, exist_ok=True)
-        soak = Soak(seed, log_folder)
+        soak = Soak(
+            seed,
+            log_folder,
+            has_paths=cuts,
+            has_unanswered_ends=unanswered_ends,
+        )
         try:
             soak.run(minutes * 60)
         finally:
             soak.kill_entries()
+            evidence_folder = _keep_evidence(seed, soak, log_folder, keep)
     for (kind, status), count in sorted(
         soak.observations.response_counts.items()
     ):
         print(f"{kind} {status}: {count}")
+    for cut in soak.observations.cuts:
+        print(f"cut: {cut}")
     for text in soak.observations.violations:
         print(f"violation: {text}")
+    if evidence_folder is not None:
+        print(f"evidence: {evidence_folder}")
     print(
         f"soak seed {seed}: {len(soak.observations.violations)} "
         "guarantees violated"
@@ -264,5 +342,21 @@
     return 1 if soak.observations.violations else 0
 
 
+def _keep_evidence(
+    seed: int, soak: Soak, log_folder: pathlib.Path, keep: pathlib.Path
+) -> pathlib.Path | None:
+    """Keeps the evidence of violations; returns None if there are none."""
+    observations = soak.observations
+    if not observations.violations:
+        return None
+    return soak_evidence.keep(
+        seed,
+        observations.violations,
+        observations.fault_lines,
+        log_folder,
+        keep,
+    )
+
+
 if __name__ == "__main__":
     sys.exit(_app(result_action="return_value"))
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -4,8 +4,11 @@
 
 import signal
 import subprocess
+from collections.abc import Collection
 
 import eventlet
+import soak_cuts
+import soak_proxy
 import soak_system
 import soak_workers
 
@@ -15,6 +18,33 @@
 _REVOKE_PROBABILITY = 0.3
 # Seconds for which all engines begin no run in a stop under full engines.
 _FULL_ENGINES_S = 9.0
+# Time from the early end of one engine to the next, and until it starts again.
+_ENGINE_END_PAUSE_RANGE_S = (0.3, 2.0)
+_ENGINE_RESTART_RANGE_S = (1.0, 3.0)
+# Low, since most new starts have a new id.
+_SAME_ID_PROBABILITY = 0.2
+# What the address of an engine does after its process has ended.
+_ACCEPTANCES_AFTER_END = (
+    soak_proxy.Acceptance.REFUSE,
+    soak_proxy.Acceptance.CLOSE,
+    soak_proxy.Acceptance.SILENT,
+    soak_proxy.Acceptance.RESET,
+)
+# Time from the end of one cut of paths to the start of the next.
+_CUT_PAUSE_RANGE_S = (0.5, 2.0)
+_CUT_DURATION_RANGE_S = (6.0, 10.0)
+# Services to which paths are cut; those to all are cut most often.
+_CUT_SERVICES = (
+    ("engines", "plain"),
+    ("engines", "plain"),
+    ("engines",),
+    ("plain",),
+)
+# Kinds of requests by the service that they need.
+_KINDS_BY_SERVICE = {
+    "engines": ("draft", "check"),
+    "plain": ("order", "stock"),
+}
 
 
 class SoakFaults(soak_system.SoakSystem):
@@ -22,7 +52,95 @@
 
     def inject_fault(self) -> None:
         """Starts one random fault."""
-        self._rng.choice(_FAULTS)(self)
+        fault = self._rng.choice(_FAULTS)
+        self.observations.add_fault(fault.__name__.strip("_"))
+        fault(self)
+
+    def end_engines(self, deadline_s: float) -> None:
+        """Ends processes of engines one after another until a deadline.
+
+        Args:
+            deadline_s: Deadline in seconds of `clock.boottime`.
+        """
+        while clock.boottime() < deadline_s:
+            self._end_engine()
+            eventlet.sleep(self._rng.uniform(*_ENGINE_END_PAUSE_RANGE_S))
+
+    def _end_engine(self) -> None:
+        """Ends an engine so that its streams look complete; restarts it."""
+        engines = [
+            worker for worker in self._workers if worker.service == "engines"
+        ]
+        if len(engines) < 2:
+            return
+        worker = self._rng.choice(engines)
+        acceptance = self._rng.choice(_ACCEPTANCES_AFTER_END)
+        must_end_chunks = self._rng.random() < 0.5
+        is_silent = acceptance is soak_proxy.Acceptance.SILENT
+        if is_silent and not self._has_unanswered_ends:
+            must_end_chunks = False
+        self._workers.remove(worker)
+        ends = worker.end_process(acceptance, must_end_chunks=must_end_chunks)
+        self.observations.early_ends.update(ends)
+        self.observations.add_fault(
+            f"end_engine {worker.worker_id}: {acceptance.value}"
+        )
+        duration_s = self._rng.uniform(*_ENGINE_RESTART_RANGE_S)
+        eventlet.spawn_after(duration_s, self._restart_engine, worker)
+
+    def _restart_engine(self, worker: soak_workers.SoakWorker) -> None:
+        worker_id = worker.worker_id
+        if self._rng.random() >= _SAME_ID_PROBABILITY:
+            self._store.delete_row("servers", worker_id)
+            self._worker_count += 1
+            worker_id = f"w{self._worker_count}"
+        worker.start_process(worker_id)
+        self._list_worker(worker)
+
+    def cut_paths(self, deadline_s: float) -> None:
+        """Cuts entries from workers, once after the other, until a deadline.
+
+        Callers, the store and other entries still reach these entries.
+
+        Args:
+            deadline_s: Deadline in seconds of `clock.boottime`.
+        """
+        while True:
+            eventlet.sleep(self._rng.uniform(*_CUT_PAUSE_RANGE_S))
+            duration_s = self._rng.uniform(*_CUT_DURATION_RANGE_S)
+            if clock.boottime() + duration_s > deadline_s:
+                return
+            cut = self._cut_some_paths()
+            eventlet.sleep(duration_s)
+            cut.ended_s = clock.boottime()
+            self._set_cuts({}, ())
+
+    def _cut_some_paths(self) -> soak_cuts.CutPaths:
+        """Cuts some entries from all workers or from those of one service."""
+        entry_count = self._rng.choice((1, 2))
+        hosts = self._rng.sample(list(self._path_ports), entry_count)
+        services = self._rng.choice(_CUT_SERVICES)
+        way = self._rng.choice(list(soak_proxy.Cut))
+        self._set_cuts(
+            {self._path_ports[host]: way for host in hosts}, services
+        )
+        kinds = [
+            kind for service in services for kind in _KINDS_BY_SERVICE[service]
+        ]
+        description = (
+            f"{', '.join(hosts)} cut from {', '.join(services)}: {way.value}"
+        )
+        self.observations.add_fault(description)
+        cut = soak_cuts.CutPaths(hosts, kinds, description, clock.boottime())
+        self.observations.cuts.append(cut)
+        return cut
+
+    def _set_cuts(
+        self, cuts: dict[int, soak_proxy.Cut], services: Collection[str]
+    ) -> None:
+        self._cuts, self._cut_services = cuts, services
+        for worker in self._workers:
+            self._apply_cuts(worker)
 
     def _kill_entry(self) -> None:
         host = self._choose_host()
