Look for a dead endpoint no longer once its address refuses twice in a row

The crash of a worker whose listening socket closed just after the first connection counted 0.8 s late, since each further refused connection was waited for like a rejected one. Two refused connections in a row end the search: nothing listens for a dead process.

--- a/libs/gateway/src/dandelionlead/gateway/end_check.py
+++ b/libs/gateway/src/dandelionlead/gateway/end_check.py
@@ -17,6 +17,7 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
+from dandelionlead.http import client
 from dandelionlead.routing import calls
 
 # Longest time for the first answer, over a connection of the pool, and for all
@@ -28,7 +29,7 @@
 _FAILED_PAUSES_S = (0.05, 0.1, 0.2, 0.4)
 # Connections that are refused in a row from which no further one is tried:
 # nothing listens for a dead process.
-_MAX_REFUSED = 3
+_MAX_REFUSED = 2
 # Reports are some hundred milliseconds old, and may still list a run.
 _STALE_REPORT_PAUSE_S = 0.1
 
@@ -158,12 +159,13 @@
             timeout_s, FIRST_ANSWER_TIMEOUT_S
         )
         evidence = _judge(status, event_count, is_silent=is_silent)
-        refused_count += _is_unreachable(status)
+        is_refused = isinstance(status, client.RefusedFailure)
+        refused_count = refused_count + 1 if is_refused else 0
         if evidence is Evidence.RUNNING:
             pause_s = _STALE_REPORT_PAUSE_S
         elif evidence not in (Evidence.GONE, Evidence.SILENT) or (
             failed_count == len(_FAILED_PAUSES_S)
-            or refused_count == request_count == _MAX_REFUSED
+            or refused_count == _MAX_REFUSED
         ):
             return evidence, request_count
         else:
@@ -172,13 +174,6 @@
         eventlet.sleep(min(pause_s, max(0.0, deadline_s - clock.boottime())))
 
 
-def _is_unreachable(status: calls.EndpointStatus | errors.Failure) -> bool:
-    return (
-        isinstance(status, errors.Failure)
-        and status.kind is errors.Kind.ENDPOINT_UNREACHABLE
-    )
-
-
 def _judge(
     status: calls.EndpointStatus | errors.Failure,
     event_count: int | None,
--- a/libs/gateway/tests/test_end_check.py
+++ b/libs/gateway/tests/test_end_check.py
@@ -15,6 +15,7 @@
 from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.gateway import end_check
+from dandelionlead.http import client
 from dandelionlead.routing import calls
 
 virtual_time.install()
@@ -23,7 +24,7 @@
 _OTHER = calls.EndpointStatus(calls.StatusOrigin.OTHER)
 _FOREIGN = calls.EndpointStatus(calls.StatusOrigin.UNKNOWN)
 _CLOSED = errors.Failure(errors.Kind.ENDPOINT_FAILED, "closed")
-_REFUSED = errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "refused")
+_REFUSED = client.RefusedFailure(errors.Kind.ENDPOINT_UNREACHABLE, "refused")
 _SILENT = errors.Failure(errors.Kind.ENDPOINT_SILENT, "silent")
 
 
@@ -48,8 +49,9 @@
         ((_CLOSED,) * 4 + (_ENDED,), True, True, 5),
         ((_CLOSED,), False, False, 5),
         ((_FOREIGN,), False, False, 5),
-        ((_REFUSED,), False, False, 3),
-        ((_REFUSED, _REFUSED, _ENDED), True, True, 3),
+        ((_REFUSED,), False, False, 2),
+        ((_CLOSED, _REFUSED), False, False, 3),
+        ((_REFUSED, _CLOSED, _REFUSED, _ENDED), True, True, 4),
         ((_SILENT,), False, True, 2),
         ((_CLOSED, _SILENT), False, True, 2),
     )
--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -92,6 +92,12 @@
         return None
 
 
+class RefusedFailure(errors.Failure):
+    """Failure to connect because nothing listens at the address."""
+
+    __slots__ = ()
+
+
 class BodyEnd:
     """Type of `BODY_END`, which marks the end of a body."""
 
@@ -559,7 +565,9 @@
         sock.connect(address)
     except OSError as exc:
         sock.close()
-        return errors.Failure(
+        is_refused = isinstance(exc, ConnectionRefusedError)
+        failure_type = RefusedFailure if is_refused else errors.Failure
+        return failure_type(
             errors.Kind.ENDPOINT_UNREACHABLE,
             f"cannot connect to {address[0]}:{address[1]}: {exc}",
         )
