--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -21,6 +21,7 @@
 from dandelionlead.gateway import held_response
 from dandelionlead.gateway import open_calls
 from dandelionlead.gateway import relay
+from dandelionlead.gateway import relayed_call
 from dandelionlead.gateway import runs
 from dandelionlead.gateway import sending
 from dandelionlead.gateway import serving
@@ -146,7 +147,7 @@
         self._status = 0
         self._outcome: relay.Outcome | None = None
         self._origin = origin
-        self._relayed_call: call_relay.RelayedCall | None = None
+        self._relayed_call: relayed_call.RelayedCall | None = None
         # Remains false if `_try_endpoints` raises because the caller
         # disconnected or an internal error occurred.
         self._is_finished = False
@@ -324,7 +325,7 @@
 
     def _relay_to_peer(self) -> bool:
         """Passes the call on; returns whether a response was completed."""
-        self._relayed_call = call_relay.RelayedCall(
+        self._relayed_call = relayed_call.RelayedCall(
             self._deps.call_relay,
             self._admitted,
             self._response_writer,
--- a/libs/gateway/tests/test_call_relay.py
+++ b/libs/gateway/tests/test_call_relay.py
@@ -10,7 +10,7 @@
 
 from dandelionlead.cluster import roster
 from dandelionlead.cluster.gen import ttypes
-from dandelionlead.gateway import call_relay
+from dandelionlead.gateway import relay_peers
 from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
 
@@ -54,7 +54,7 @@
     def setUp(self) -> None:
         self.now_s = _NOW_S
         patch = mock.patch.object(
-            call_relay.clock, "boottime", lambda: self.now_s
+            relay_peers.clock, "boottime", lambda: self.now_s
         )
         patch.start()
         self.addCleanup(patch.stop)
@@ -63,8 +63,8 @@
         self.view = routing_view.RoutingView()
         self.peers = self.make_directory(7201)
 
-    def make_directory(self, port: int | None) -> call_relay.PeerDirectory:
-        return call_relay.PeerDirectory(
+    def make_directory(self, port: int | None) -> relay_peers.PeerDirectory:
+        return relay_peers.PeerDirectory(
             self.reach, self.view, self.roster, "z-a", port, random.Random(1)
         )
 
@@ -118,7 +118,7 @@
         """Guards against calls without bound at one peer."""
         for name in "ab":
             self.add_peer(name)
-        with mock.patch.object(call_relay, "MAX_CALLS_PER_PEER", 1):
+        with mock.patch.object(relay_peers, "MAX_CALLS_PER_PEER", 1):
             first = self.peers.choose(_SERVICE)
             with self.peers.hold(first):
                 second = self.peers.choose(_SERVICE)
