--- a/libs/gateway/src/dandelionlead/gateway/reach_probing.py
+++ b/libs/gateway/src/dandelionlead/gateway/reach_probing.py
@@ -186,7 +186,7 @@
         now_s = clock.boottime()
         if not self._scheduler.is_reach_in_doubt(service, now_s):
             self._in_doubt_since_s.pop(service, None)
-            return self._choose_targets_for_peers(service, now_s)
+            return self._choose_targets_without_doubt(service, now_s)
         is_first = service not in self._in_doubt_since_s
         since_s = self._in_doubt_since_s.setdefault(service, now_s)
         state = self._scheduler.assess_reach(service, now_s)
@@ -205,24 +205,40 @@
         count = _FIRST_PROBES if is_first else _TURN_PROBES
         return self._rng.sample(due, min(count, len(due)))
 
-    def _choose_targets_for_peers(
+    def _choose_targets_without_doubt(
         self, service: str, now_s: float
     ) -> list[model.Endpoint]:
-        """Returns what is probed to answer peers that do not reach a service.
+        """Returns what is probed of a service whose connections open.
 
-        This is one endpoint, unless the last connection tells enough.
+        This is one endpoint, to answer peers that do not reach the service, and
+        if this process does not reach another service: paths to all services
+        may be lost at once. None is probed if the last connection tells enough.
         """
-        asked_since_s = self._scheduler.reach_statements.get_asked_since_s(
-            service
-        )
-        if asked_since_s is None or not self._is_helper(service):
+        since_s = self._find_question_s(service)
+        if since_s is None:
             return []
         reached_s = self._scheduler.get_last_reached_s(service)
-        if reached_s >= max(asked_since_s, now_s - _MAX_ANSWER_AGE_S):
+        if reached_s >= max(since_s, now_s - _MAX_ANSWER_AGE_S):
             return []
         endpoints = self._view.list_service_endpoints(service)
         return self._rng.sample(endpoints, min(1, len(endpoints)))
 
+    def _find_question_s(self, service: str) -> float | None:
+        """Returns since when it matters whether a service is reached, or None.
+
+        In seconds; the latest time counts.
+        """
+        statements = self._scheduler.reach_statements
+        times_s = [
+            since_s
+            for other, since_s in self._in_doubt_since_s.items()
+            if other != service and statements.is_unreached(other)
+        ]
+        asked_since_s = statements.get_asked_since_s(service)
+        if asked_since_s is not None and self._is_helper(service):
+            times_s.append(asked_since_s)
+        return max(times_s, default=None)
+
     def _is_helper(self, service: str) -> bool:
         """Whether this process answers peers that do not reach a service."""
         names = self._list_names()
--- a/libs/gateway/tests/test_reach_probing.py
+++ b/libs/gateway/tests/test_reach_probing.py
@@ -131,6 +131,20 @@
         eventlet.sleep(0.6)
         self.assertFalse(statements.is_cut_off_from(_SERVICE))
 
+    def test_lost_paths_to_another_service_are_noticed(self) -> None:
+        """Guards against callers of a service that is rarely called.
+
+        Its paths are often lost together with those of the others.
+        """
+        self.start(9)
+        for number in range(4):
+            self.view.set_endpoint(
+                model.Endpoint(f"p{number}", "plain", "10.0.0.2", 1, "a")
+            )
+        self.try_endpoint("e0")
+        eventlet.sleep(1.5)
+        self.assertTrue(self.scheduler.is_unreached("plain", clock.boottime()))
+
     def test_peer_that_lost_its_paths_is_answered(self) -> None:
         """Guards against an old connection that is stated as an answer."""
         self.start(9)
