Soak: the number of entries is an option

With four entries, a cut often left none that was undisturbed to compare with: entries are killed, stopped and suspended at the same time. Four stay the default.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -78,7 +78,7 @@
         for zone in soak_system.ZONES:
             for service in ("engines", "engines", "plain"):
                 self._add_worker(service, zone)
-        for _ in range(soak_system.ENTRY_COUNT):
+        for _ in range(self._entry_count):
             self._add_entry()
         self._wait_until(
             self._are_all_entries_ready,
@@ -290,6 +290,7 @@
     minutes: float = 1.0,
     logs: pathlib.Path | None = None,
     keep: pathlib.Path = _EVIDENCE_FOLDER,
+    entries: int = 4,
     cuts: bool = False,
     unanswered_ends: bool = False,
 ) -> int:
@@ -303,6 +304,8 @@
         logs: Directory for the logs of the entries; without it, the logs are
             deleted at the end.
         keep: Directory for the folders that violations leave.
+        entries: Number of entries. With more of them, more are undisturbed
+            while others are cut from workers.
         cuts: Whether entries are cut from workers for seconds. Off by default:
             a cut entry does not serve its callers yet.
         unanswered_ends: Whether an address may be silent after its engine has
@@ -317,6 +320,7 @@
         soak = Soak(
             seed,
             log_folder,
+            entry_count=entries,
             has_paths=cuts,
             has_unanswered_ends=unanswered_ends,
         )
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -20,7 +20,6 @@
 
 from dandelionlead.core import clock
 
-ENTRY_COUNT = 4
 EVENT_COUNT = 40
 ZONES = ("z-a", "z-b")
 # Time from the draining state of a reclaimed worker until it is unreachable.
@@ -37,6 +36,7 @@
     Args:
         seed: Seed of the faults, their times and the requests.
         folder: Directory for the settings and logs of the entries.
+        entry_count: Number of entries.
         has_paths: Whether each entry reaches the workers by a path of its own,
             which can be cut.
         has_unanswered_ends: Whether the address of an engine may be silent
@@ -51,6 +51,7 @@
         seed: int,
         folder: pathlib.Path,
         *,
+        entry_count: int,
         has_paths: bool = False,
         has_unanswered_ends: bool = False,
     ) -> None:
@@ -69,6 +70,7 @@
         # Port of each entry's path to the workers, by the entry's IP address.
         self._path_ports: dict[str, int] = {}
         self._unused_path_ports = itertools.count(soak_workers.PORT + 1)
+        self._entry_count = entry_count
         self._has_paths = has_paths
         self._has_unanswered_ends = has_unanswered_ends
         # Paths that are cut at present, and the services that they lead to.
@@ -126,7 +128,7 @@
             zone,
             self._worker_count,
             EVENT_COUNT,
-            ENTRY_COUNT if self._has_paths else 0,
+            self._entry_count if self._has_paths else 0,
         )
         self._list_worker(worker)
 
