--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import abc
+import typing
 from collections.abc import Callable
 from collections.abc import Collection
 
@@ -29,6 +31,44 @@
 _DROPPED_IDLE_FRACTION = 0.5
 _MIN_IDLE_LIMIT_S = 0.05
 CONNECT_TIMEOUT_S = 0.5
+# A failure to connect within less time may be that of a call whose deadline is
+# near, and does not count as a failed connection.
+_MIN_TELLING_TIMEOUT_S = 0.2
+
+# Opens a connection to an address within some seconds; the bodies that it reads
+# are counted by the given intake, or by an account of its own.
+Connector = Callable[
+    [tuple[str, int], float, intake.Intake | None],
+    client.ClientConnection | errors.Failure,
+]
+
+
+class ConnectionListener(abc.ABC):
+    """Is told which new connections could be opened."""
+
+    @abc.abstractmethod
+    def handle_opened(self, endpoint: model.Endpoint) -> None:
+        """A new connection to an endpoint was opened."""
+
+    @abc.abstractmethod
+    def handle_failed(self, endpoint: model.Endpoint) -> None:
+        """A new connection to an endpoint could not be opened."""
+
+    @abc.abstractmethod
+    def handle_silent(self, endpoint: model.Endpoint) -> None:
+        """A request on a pooled connection got no response in time."""
+
+
+class Destination(typing.Protocol):
+    """Endpoint or peer that connections lead to.
+
+    Attributes:
+        endpoint_id: Id of one start of the endpoint or peer.
+        address: IP address and port.
+    """
+
+    endpoint_id: str
+    address: tuple[str, int]
 
 
 class ConnectionPool:
@@ -43,21 +83,30 @@
             be idle.
         memory: Counts the bodies that all connections read; None for an account
             of each.
+
+    Attributes:
+        connector: Opens all connections to endpoints. Tests replace it to cut
+            the paths of one process.
+        listener: Is told which connections could be opened; None for nobody.
     """
 
     def __init__(
         self,
-        get_share: Callable[[model.Endpoint], int],
+        get_share: Callable[[Destination], int],
         memory: intake.Intake | None = None,
     ) -> None:
+        self.connector: Connector = client.connect
+        self.listener: ConnectionListener | None = None
         self._get_share = get_share
         self._memory = memory
         self._idle_conns: dict[str, list[client.ClientConnection]] = {}
         self._idle_limits_s: dict[str, float] = {}
+        # Times in seconds of the last complete responses, by endpoint id.
+        self._responded_s: dict[str, float] = {}
 
     def acquire(
         self,
-        endpoint: model.Endpoint,
+        endpoint: Destination,
         timeout_s: float,
         *,
         must_send_once: bool = False,
@@ -91,12 +140,47 @@
                 conn.idle_before_request_s = now_s - conn.idle_since_s
                 return conn
             conn.close()
-        return client.connect(
-            endpoint.address, min(CONNECT_TIMEOUT_S, timeout_s), self._memory
-        )
+        return self._open(endpoint, min(CONNECT_TIMEOUT_S, timeout_s))
+
+    def try_connect(
+        self, endpoint: model.Endpoint, timeout_s: float
+    ) -> errors.Failure | None:
+        """Opens a connection, closes it, and returns why it failed, or None.
+
+        Args:
+            endpoint: The endpoint to connect to.
+            timeout_s: Longest time for opening the connection, in seconds.
+        """
+        conn = self._open(endpoint, timeout_s)
+        if isinstance(conn, errors.Failure):
+            return conn
+        conn.close()
+        return None
+
+    def _open(
+        self, endpoint: model.Endpoint, timeout_s: float
+    ) -> client.ClientConnection | errors.Failure:
+        """Opens a connection to an endpoint."""
+        conn = self.connector(endpoint.address, timeout_s, self._memory)
+        if self.listener is None:
+            return conn
+        if not isinstance(conn, errors.Failure):
+            self.listener.handle_opened(endpoint)
+        elif timeout_s >= _MIN_TELLING_TIMEOUT_S:
+            self.listener.handle_failed(endpoint)
+        return conn
+
+    def get_last_response_s(self, endpoint_id: str) -> float:
+        """Returns when an endpoint last responded, in seconds."""
+        return self._responded_s.get(endpoint_id, float("-inf"))
+
+    def note_silent(self, endpoint: model.Endpoint) -> None:
+        """Notes that a request on a pooled connection got no response."""
+        if self.listener is not None:
+            self.listener.handle_silent(endpoint)
 
     def release(
-        self, endpoint: model.Endpoint, conn: client.ClientConnection
+        self, endpoint: Destination, conn: client.ClientConnection
     ) -> None:
         """Returns a connection to the pool after an exchange.
 
@@ -113,7 +197,7 @@
             conn.close()
 
     def put_back(
-        self, endpoint: model.Endpoint, conn: client.ClientConnection
+        self, endpoint: Destination, conn: client.ClientConnection
     ) -> None:
         """Adds a connection that is ready for a request.
 
@@ -123,6 +207,7 @@
             endpoint: The endpoint that the connection leads to.
             conn: The connection.
         """
+        self._responded_s[endpoint.endpoint_id] = clock.boottime()
         idle_conns = self._idle_conns.setdefault(endpoint.endpoint_id, [])
         max_idle_conns = min(
             MAX_IDLE_CONNS_PER_ENDPOINT, self._get_share(endpoint) // 2
@@ -132,7 +217,7 @@
             return
         idle_conns.append(conn)
 
-    def lower_idle_limit(self, endpoint: model.Endpoint, idle_s: float) -> None:
+    def lower_idle_limit(self, endpoint: Destination, idle_s: float) -> None:
         """Lowers an endpoint's idle limit after it dropped a connection.
 
         Args:
@@ -157,6 +242,8 @@
         now_s = clock.boottime()
         for removed_id in set(self._idle_limits_s) - set(endpoint_ids):
             del self._idle_limits_s[removed_id]
+        for removed_id in set(self._responded_s) - set(endpoint_ids):
+            del self._responded_s[removed_id]
         for endpoint_id, idle_conns in list(self._idle_conns.items()):
             usable_conns = []
             for conn in idle_conns:
--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import eventlet
 
 from dandelionlead.core import clock
@@ -15,6 +17,7 @@
 from dandelionlead.routing import calls
 from dandelionlead.routing import crashes
 from dandelionlead.routing import model
+from dandelionlead.routing import reach
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import scheduling
 
@@ -23,12 +26,27 @@
 # seconds later, after the restart.
 _DELAYS_S = (0.05, 0.4)
 _CONNECT_TIMEOUT_S = 0.3
+# Longest time until it is known whether this process alone has lost its paths
+# to the service, and the pause between two looks at that.
+_MAX_DOUBT_S = 1.5
+_DOUBT_PAUSE_S = 0.1
 # Number of parts of a prompt that are suspected, and length of their ids. Both
 # come from callers, and suspected parts are sent to all peers.
 _MAX_PARTS = 16
 _MAX_PART_ID_LENGTH = 32
 
 
+def try_connect(
+    endpoint: model.Endpoint, _: model.Service | None, timeout_s: float
+) -> errors.Failure | None:
+    """Opens a connection, closes it, and returns why it failed, or None."""
+    conn = client.connect(endpoint.address, timeout_s)
+    if isinstance(conn, errors.Failure):
+        return conn
+    conn.close()
+    return None
+
+
 class CrashDetector:
     """Checks endpoints whose connections broke.
 
@@ -38,6 +56,8 @@
         scheduler: Records the suspected requests and the crashes.
         view: Holds which endpoints are leaving.
         log: Receives one line for each crash.
+        find_absence: Returns why an endpoint of a service has ended or cannot
+            be reached within some seconds, or None.
     """
 
     def __init__(
@@ -45,8 +65,13 @@
         scheduler: scheduling.Scheduler,
         view: routing_view.RoutingView,
         log: events.Log,
+        find_absence: Callable[
+            [model.Endpoint, model.Service | None, float],
+            errors.Failure | None,
+        ] = try_connect,
     ) -> None:
         self._scheduler = scheduler
+        self._find_absence = find_absence
         self._view = view
         self._log = log
         self._endpoint_ids_in_check: set[str] = set()
@@ -66,7 +91,7 @@
         return not self._view.is_leaving(endpoint.endpoint_id)
 
     def _check(self, endpoint: model.Endpoint) -> None:
-        """Tries to connect twice; records a crash if an attempt fails."""
+        """Looks for the endpoint twice; records a crash if it has ended."""
         try:
             for delay_s in _DELAYS_S:
                 eventlet.sleep(delay_s)
@@ -75,17 +100,69 @@
         finally:
             self._endpoint_ids_in_check.discard(endpoint.endpoint_id)
 
+    def confirm_failure(
+        self, endpoint: model.Endpoint, record: Callable[[], None]
+    ) -> None:
+        """Records a failed connection, unless only its path is lost.
+
+        Args:
+            endpoint: The endpoint that was not reached.
+            record: Records the failure. It is called at once, or in the
+                background if it is in doubt whether this process has lost its
+                paths to the service.
+        """
+        if self._scheduler.is_reach_in_doubt(
+            endpoint.service, clock.boottime()
+        ):
+            eventlet.spawn_n(self._record_unless_cut_off, endpoint, record)
+        else:
+            record()
+
+    def _record_unless_cut_off(
+        self, endpoint: model.Endpoint, record: Callable[[], None]
+    ) -> None:
+        if not self._has_lost_path(endpoint):
+            record()
+
+    def _has_lost_path(self, endpoint: model.Endpoint) -> bool:
+        """Returns whether only this process does not reach an endpoint.
+
+        Waits while this is in doubt; then the endpoint counts as crashed.
+        """
+        deadline_s = clock.boottime() + _MAX_DOUBT_S
+        while True:
+            now_s = clock.boottime()
+            state = self._scheduler.assess_reach(endpoint.service, now_s)
+            if state is reach.Reach.CUT_OFF:
+                return True
+            if now_s >= deadline_s or not self._scheduler.is_reach_in_doubt(
+                endpoint.service, now_s
+            ):
+                return False
+            eventlet.sleep(_DOUBT_PAUSE_S)
+
     def _record_if_crashed(self, endpoint: model.Endpoint) -> bool:
-        """Records a crash and returns True if a connection attempt fails."""
-        conn = client.connect(endpoint.address, _CONNECT_TIMEOUT_S)
-        if not isinstance(conn, errors.Failure):
-            conn.close()
+        """Records a crash and returns True if the endpoint has ended.
+
+        It is no crash if this process has lost its paths to the service.
+        """
+        configuration = self._view.configuration
+        services = configuration.services if configuration else {}
+        failure = self._find_absence(
+            endpoint, services.get(endpoint.service), _CONNECT_TIMEOUT_S
+        )
+        if failure is None:
             return False
-        self._scheduler.record_unreachable(endpoint, clock.boottime())
+        self._scheduler.health_tracker.record_unreachable(
+            endpoint.endpoint_id, clock.boottime()
+        )
+        if self._has_lost_path(endpoint):
+            return True
+        self._scheduler.record_endpoint_lost(endpoint, clock.boottime())
         self._log.event(
             "endpoint_crashed",
             endpoint=endpoint.endpoint_id,
-            reason=conn.reason,
+            reason=failure.reason,
         )
         return True
 
--- a/libs/gateway/src/dandelionlead/gateway/platform_codec.py
+++ b/libs/gateway/src/dandelionlead/gateway/platform_codec.py
@@ -85,6 +85,32 @@
                 None for no backup.
         """
 
+    @abc.abstractmethod
+    def encode_relay_headers(
+        self,
+        call: calls.Call,
+        remaining_s: float,
+        origin: calls.RelayOrigin,
+    ) -> client.Headers:
+        """Returns the headers with which a call is passed on to a peer.
+
+        The peer decodes the same call from them, API key included.
+
+        Args:
+            call: The call as its caller sent it.
+            remaining_s: Seconds until the call's deadline.
+            origin: States to the peer where the call comes from.
+        """
+
+    @abc.abstractmethod
+    def decode_relay_origin(self, headers: client.Headers) -> calls.RelayOrigin:
+        """Converts the headers that only a peer sends.
+
+        Args:
+            headers: All headers of a request that arrived at the port for
+                peers. Names that are missing become empty.
+        """
+
     @abc.abstractmethod
     def decode_response_head(
         self, head: client.ResponseHead
@@ -147,15 +173,12 @@
     @abc.abstractmethod
     def encode_status_request(
         self, endpoint: model.Endpoint, service: model.Service
-    ) -> ControlRequest | None:
+    ) -> ControlRequest:
         """Returns the request for what an endpoint states of itself.
 
         Args:
             endpoint: The endpoint.
             service: Service of the endpoint.
-
-        Returns:
-            The request; None if the service has none.
         """
 
     @abc.abstractmethod
@@ -164,6 +187,7 @@
         head: calls.EndpointResponseHead,
         body: bytes,
         endpoint: model.Endpoint,
+        service: model.Service,
         request_id: str,
     ) -> calls.EndpointStatus:
         """Converts the response to a request for an endpoint's status.
@@ -172,6 +196,7 @@
             head: Head of the response.
             body: Body of the response.
             endpoint: The endpoint that the request was sent to.
+            service: Service of the endpoint.
             request_id: Id of the call whose run is looked for in the response.
         """
 
--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -47,7 +47,7 @@
 _TCP_KEEPALIVE_INTERVAL_S = 1
 _TCP_KEEPALIVE_PROBES = 3
 # SO_LINGER with a timeout of 0 s: closing sends a TCP reset.
-_LINGER_RESET = struct.pack("ii", 1, 0)
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 # Header names and values, in the order in which they are on the wire.
 Headers = list[tuple[bytes, bytes]]
@@ -92,6 +92,12 @@
         return None
 
 
+class RefusedFailure(errors.Failure):
+    """Failure to connect because nothing listens at the address."""
+
+    __slots__ = ()
+
+
 class BodyEnd:
     """Type of `BODY_END`, which marks the end of a body."""
 
@@ -485,7 +491,7 @@
         with contextlib.suppress(OSError):
             if self._awaits_response():
                 self._sock.setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET
+                    socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
                 )
         with contextlib.suppress(OSError):
             self._sock.close()
@@ -559,7 +565,9 @@
         sock.connect(address)
     except OSError as exc:
         sock.close()
-        return errors.Failure(
+        is_refused = isinstance(exc, ConnectionRefusedError)
+        failure_type = RefusedFailure if is_refused else errors.Failure
+        return failure_type(
             errors.Kind.ENDPOINT_UNREACHABLE,
             f"cannot connect to {address[0]}:{address[1]}: {exc}",
         )
