--- a/libs/gateway/src/dandelionlead/gateway/call_relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_relay.py
@@ -447,7 +447,7 @@
             must_send_once=not self._admitted.route.is_repeatable,
         )
         if isinstance(conn, errors.Failure):
-            self._record_refusal(peer, Outcome.UNREACHABLE, conn.reason)
+            self._record_unreachable(peer, conn.reason)
             return False
         outcome = Outcome.GONE
         is_reusable = False
@@ -608,11 +608,9 @@
                 return Outcome.ANSWERED
             writer.send_data(part)
 
-    def _record_refusal(
-        self, peer: Peer, outcome: Outcome, reason: str
-    ) -> None:
+    def _record_unreachable(self, peer: Peer, reason: str) -> None:
         """Records that nothing was sent to a peer."""
-        self._relay.count(outcome)
+        self._relay.count(Outcome.UNREACHABLE)
         self._relay.peers.avoid(peer)
         self._relay.log_refusal(self._call.request_id, peer, reason)
         self.failure = self._make_refusal(
