--- a/libs/gateway/src/dandelionlead/gateway/relayed_call.py
+++ b/libs/gateway/src/dandelionlead/gateway/relayed_call.py
@@ -113,9 +113,7 @@
             must_send_once=not self._admitted.route.is_repeatable,
         )
         if isinstance(conn, errors.Failure):
-            self._record_refusal(
-                peer, call_relay.Outcome.UNREACHABLE, conn.reason
-            )
+            self._record_unreachable(peer, conn.reason)
             return False
         outcome = call_relay.Outcome.GONE
         is_reusable = False
@@ -280,11 +278,9 @@
                 return call_relay.Outcome.ANSWERED
             writer.send_data(part)
 
-    def _record_refusal(
-        self, peer: relay_peers.Peer, outcome: call_relay.Outcome, reason: str
-    ) -> None:
+    def _record_unreachable(self, peer: relay_peers.Peer, reason: str) -> None:
         """Records that nothing was sent to a peer."""
-        self._relay.count(outcome)
+        self._relay.count(call_relay.Outcome.UNREACHABLE)
         self._relay.peers.avoid(peer)
         self._relay.log_refusal(self._call.request_id, peer, reason)
         self.failure = self._make_refusal(
