--- a/tools/soak.py
+++ b/tools/soak.py
@@ -40,6 +40,9 @@
 _CALLER_COUNT = 10
 # Callers that connect to listed addresses only, while paths are cut.
 _LIST_CALLER_COUNT = 24
+# Time from one first try of a caller to its next, whether it is over or not:
+# otherwise, tries that fail at once would outnumber those that are served.
+_FIRST_TRY_PAUSE_RANGE_S = (0.5, 1.0)
 # Times for which callers keep a list of addresses: some three times as long.
 _LIST_AGES_S = (2.0, 2.0, 6.0)
 _START_TIMEOUT_S = 20.0
@@ -155,8 +158,9 @@
                 list_age_s = self._rng.choice(_LIST_AGES_S)
                 listed_until_s = clock.boottime() + list_age_s
             if hosts:
-                self._send_first_try(self._rng.choice(hosts))
-            eventlet.sleep(self._rng.uniform(0.02, 0.2))
+                host = self._rng.choice(hosts)
+                eventlet.spawn_n(self._send_first_try, host)
+            eventlet.sleep(self._rng.uniform(*_FIRST_TRY_PAUSE_RANGE_S))
 
     def _read_listed_hosts(self) -> list[str]:
         """Returns the hosts that a random entry lists; none if it fails."""
