Settle a lost path by one connection, whatever fails after it

A crash that waits for the verdict on lost paths (at most 1.5 s) was recorded 1.56 s late in a traced run, though other workers could be reached: probes run beside each other, and one at a further crashed worker that failed after one that succeeded kept the doubt up.

Change: one connection to another endpoint of the service since the failure shows that the path exists.

Evidence: the new case of test_lost_paths fails before; in four runs of WorkerCrashTest beside a load of 19 each of 12 crashes was recorded within 0.16 s.

--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -127,16 +127,24 @@
     def _has_lost_path(self, endpoint: model.Endpoint) -> bool:
         """Returns whether only this process does not reach an endpoint.
 
-        Waits while this is in doubt; then the endpoint counts as crashed.
+        Waits while this is in doubt; then the endpoint counts as crashed. One
+        connection to another endpoint of the service settles it, even if
+        connections to further crashed endpoints fail after it.
         """
-        deadline_s = clock.boottime() + _MAX_DOUBT_S
+        started_s = clock.boottime()
+        deadline_s = started_s + _MAX_DOUBT_S
         while True:
             now_s = clock.boottime()
             state = self._scheduler.assess_reach(endpoint.service, now_s)
             if state is reach.Reach.CUT_OFF:
                 return True
-            if now_s >= deadline_s or not self._scheduler.is_reach_in_doubt(
-                endpoint.service, now_s
+            if (
+                now_s >= deadline_s
+                or self._scheduler.get_last_reached_s(endpoint.service)
+                >= started_s
+                or not self._scheduler.is_reach_in_doubt(
+                    endpoint.service, now_s
+                )
             ):
                 return False
             eventlet.sleep(_DOUBT_PAUSE_S)
--- a/libs/gateway/tests/test_lost_paths.py
+++ b/libs/gateway/tests/test_lost_paths.py
@@ -59,6 +59,11 @@
     def _reach_other(self) -> None:
         self.scheduler.reach_tracker.record_reached("e1", clock.boottime())
 
+    def _reach_other_before_a_failure(self) -> None:
+        """Probes run beside each other: one at a further crashed endpoint."""
+        self._reach_other()
+        self._fail("e2")
+
     def _reach_at_peer(self) -> None:
         self._fail_all()
         self.scheduler.reach_tracker.replace_peer_reach(
@@ -70,6 +75,12 @@
         # records then, and 1.7 s after the failure.
         cases: tuple[tuple[str, Callable[[], None], int, int], ...] = (
             ("another endpoint is reached", self._reach_other, 1, 1),
+            (
+                "another endpoint is reached, a further one is not",
+                self._reach_other_before_a_failure,
+                1,
+                1,
+            ),
             ("peers reach the service", self._reach_at_peer, 0, 0),
             ("nobody says anything", self._fail_all, 0, 1),
         )
