--- a/libs/gateway/src/dandelionlead/gateway/connection_pool.py
+++ b/libs/gateway/src/dandelionlead/gateway/connection_pool.py
@@ -44,7 +44,7 @@
 
 
 class ConnectionListener(abc.ABC):
-    """Is told which new connections could be opened."""
+    """Receives which new connections could be opened."""
 
     @abc.abstractmethod
     def handle_opened(self, endpoint: model.Endpoint) -> None:
@@ -87,7 +87,7 @@
     Attributes:
         connector: Opens all connections to endpoints. Tests replace it to cut
             the paths of one process.
-        listener: Is told which connections could be opened; None for nobody.
+        listener: Receives which connections could be opened; may be None.
     """
 
     def __init__(
--- a/libs/gateway/src/dandelionlead/gateway/relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay.py
@@ -318,13 +318,13 @@
             return None
         was_pending = run.is_stop_pending
         stop_result = self._resumption.await_stop()
-        believed = {runs.StopResult.NOT_STOPPED}
+        ruling_out_a_stop = {runs.StopResult.NOT_STOPPED}
         if has_end_mark:
-            believed.add(runs.StopResult.UNREACHABLE)
+            ruling_out_a_stop.add(runs.StopResult.UNREACHABLE)
             if not was_pending:
                 # The stream went on after the engine's unclear response.
-                believed.add(runs.StopResult.UNKNOWN)
-        if stop_result in believed:
+                ruling_out_a_stop.add(runs.StopResult.UNKNOWN)
+        if stop_result in ruling_out_a_stop:
             return None
         return errors.Failure(
             errors.Kind.ENDPOINT_FAILED,
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -216,9 +216,9 @@
     ) -> errors.Failure | None:
         """Returns why a body that has ended may be incomplete, or None.
 
-        A length or a last chunk is the endpoint's own word. The last chunk of a
-        stream is doubted if its connection ends with it, as it does if the HTTP
-        server of a process that ends, or a forwarder, ends the stream.
+        A length or a last chunk counts as the end. The last chunk of a stream
+        does not if its connection ends with it, as it does if the HTTP server
+        of a process that ends, or a forwarder, ends the stream.
 
         Args:
             response: The response; its body has been read to the end.
