Remove a second function that tries to connect, which only tests used

CrashDetector had a default for its search of an endpoint, a copy of ConnectionPool.try_connect. The product always passes Sender.find_absence. The search is required now; the four tests that took the default, whose addresses nobody listens at, pass a refusal. Their assertions are unchanged. The module's text says what counts as a crash now.

--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -1,7 +1,7 @@
 """Checks whether an endpoint crashed after a connection to it broke.
 
 The result feeds the detection of requests that crash their endpoints: a broken
-connection counts as a crash only if the endpoint cannot be reached any more.
+connection counts as a crash only if nothing answers in the endpoint's name.
 """
 
 from __future__ import annotations
@@ -13,7 +13,6 @@
 from dandelionlead.core import clock
 from dandelionlead.core import errors
 from dandelionlead.core import events
-from dandelionlead.http import client
 from dandelionlead.routing import calls
 from dandelionlead.routing import crashes
 from dandelionlead.routing import model
@@ -36,17 +35,6 @@
 _MAX_PART_ID_LENGTH = 32
 
 
-def try_connect(
-    endpoint: model.Endpoint, _: model.Service | None, timeout_s: float
-) -> errors.Failure | None:
-    """Opens a connection, closes it, and returns why it failed, or None."""
-    conn = client.connect(endpoint.address, timeout_s)
-    if isinstance(conn, errors.Failure):
-        return conn
-    conn.close()
-    return None
-
-
 class CrashDetector:
     """Checks endpoints whose connections broke.
 
@@ -68,7 +56,7 @@
         find_absence: Callable[
             [model.Endpoint, model.Service | None, float],
             errors.Failure | None,
-        ] = try_connect,
+        ],
     ) -> None:
         self._scheduler = scheduler
         self._find_absence = find_absence
--- a/libs/gateway/tests/test_lost_paths.py
+++ b/libs/gateway/tests/test_lost_paths.py
@@ -13,6 +13,7 @@
 import eventlet
 
 from dandelionlead.core import clock
+from dandelionlead.core import errors
 from dandelionlead.core import events
 from dandelionlead.gateway import crash_detection
 from dandelionlead.routing import model
@@ -24,6 +25,11 @@
 _ENDPOINT_COUNT = 3
 
 
+def _find_refusal(*_: object) -> errors.Failure:
+    """Returns the failure of an endpoint at whose address nothing listens."""
+    return errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "refused")
+
+
 class ConfirmFailureTest(unittest.TestCase):
     """Guards against failures of a process's own paths that count."""
 
@@ -40,7 +46,7 @@
             random.Random(1),
         )
         self.detector = crash_detection.CrashDetector(
-            self.scheduler, self.view, events.Log("test")
+            self.scheduler, self.view, events.Log("test"), _find_refusal
         )
         self.recorded_count = 0
 
--- a/libs/gateway/tests/test_migrations.py
+++ b/libs/gateway/tests/test_migrations.py
@@ -552,6 +552,11 @@
         self.assertEqual(self.sender.requests, [])
 
 
+def _find_refusal(*_: object) -> errors.Failure:
+    """Returns the failure of an endpoint at whose address nothing listens."""
+    return errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "refused")
+
+
 class _RelayCase(_SupervisorCase):
     # Ids of engines that accept no connections.
     unreachable_ids: frozenset[str] = frozenset()
@@ -579,7 +584,9 @@
             self.view,
             self._find_connect_failure,
         )
-        detector = crash_detection.CrashDetector(self.scheduler, self.view, log)
+        detector = crash_detection.CrashDetector(
+            self.scheduler, self.view, log, _find_refusal
+        )
         stream_relay = relay.Relay(
             self.sender,
             self.scheduler,
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -392,6 +392,11 @@
         self.assertEqual(self.crash_tracker.list_crashes(later_s), [])
 
 
+def _find_refusal(*_: object) -> errors.Failure:
+    """Returns the failure of an endpoint at whose address nothing listens."""
+    return errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "refused")
+
+
 def _make_scheduler(view: routing_view.RoutingView) -> scheduling.Scheduler:
     return scheduling.Scheduler(
         view,
@@ -513,7 +518,7 @@
         view = routing_view.RoutingView()
         scheduler = _make_scheduler(view)
         detector = crash_detection.CrashDetector(
-            scheduler, view, events.Log("test")
+            scheduler, view, events.Log("test"), _find_refusal
         )
         for number in range(40):
             endpoint = model.Endpoint(f"e{number}", "s", "127.0.0.1", 1, "a")
@@ -548,7 +553,7 @@
         scheduler = _make_scheduler(view)
         admitted = _make_admitted_call(body=b"poison")
         detector = crash_detection.CrashDetector(
-            scheduler, view, events.Log("test")
+            scheduler, view, events.Log("test"), _find_refusal
         )
         for started_unix_ms in range(1, crashes.CRASH_LIMIT + 1):
             request_crashes = crash_detection.RequestCrashes(
