--- a/libs/gateway/src/dandelionlead/gateway/call_relay.py
+++ b/libs/gateway/src/dandelionlead/gateway/call_relay.py
@@ -89,8 +89,12 @@
         return self.peers.is_cut_off(service)
 
     def should_relay(self, service: str) -> bool:
-        """Returns whether calls to a service are passed on to peers now."""
-        return self.is_cut_off(service) and bool(self.peers.list_peers(service))
+        """Returns whether calls to a service are passed on to peers now.
+
+        While no process asks who reaches the service, no peer is listed, and
+        the endpoints need not be looked through for each call.
+        """
+        return bool(self.peers.list_peers(service)) and self.is_cut_off(service)
 
     def await_relay(self, service: str, deadline_s: float) -> bool:
         """Waits while it is in doubt whether this process is cut off.
--- a/libs/gateway/src/dandelionlead/gateway/relay_peers.py
+++ b/libs/gateway/src/dandelionlead/gateway/relay_peers.py
@@ -84,7 +84,7 @@
 
     def is_cut_off(self, service: str) -> bool:
         """Returns whether this process has lost its paths to a service."""
-        endpoint_ids = self._list_endpoint_ids(service)
+        endpoint_ids = self._view.list_service_endpoint_ids(service)
         return bool(endpoint_ids) and self.reach.is_cut_off(
             service, endpoint_ids, clock.boottime()
         )
@@ -96,7 +96,7 @@
         was opened since.
         """
         return self.reach.is_unreached(
-            self._list_endpoint_ids(service), clock.boottime()
+            self._view.list_service_endpoint_ids(service), clock.boottime()
         )
 
     def get_doubt_end_s(self, service: str) -> float:
@@ -107,7 +107,7 @@
         service was reached: a service that fails for longer is down for all.
         """
         now_s = clock.boottime()
-        endpoint_ids = self._list_endpoint_ids(service)
+        endpoint_ids = self._view.list_service_endpoint_ids(service)
         if not self.reach.is_in_doubt(endpoint_ids, now_s):
             return float("-inf")
         since_s = self._failing_since_s.get(service)
@@ -116,12 +116,6 @@
             since_s = self._failing_since_s[service] = now_s
         return since_s + _MAX_DOUBT_S
 
-    def _list_endpoint_ids(self, service: str) -> list[str]:
-        return [
-            endpoint.endpoint_id
-            for endpoint in self._view.list_service_endpoints(service)
-        ]
-
     def list_peers(self, service: str) -> list[Peer]:
         """Returns the peers that a call to a service can be passed on to.
 
@@ -131,6 +125,8 @@
             return []
         now_s = clock.boottime()
         names = set(self.reach.list_reaching_peers(service, now_s))
+        if not names:
+            return []
         return [
             Peer(member, self._port, self._zone)
             for member in self._roster.live_members(now_s)
--- a/libs/routing/src/dandelionlead/routing/routing_view.py
+++ b/libs/routing/src/dandelionlead/routing/routing_view.py
@@ -234,7 +234,7 @@
         """
         return [
             endpoint
-            for endpoint in self._list_not_leaving(service)
+            for endpoint in self.list_service_endpoints(service)
             if endpoint.availability_zone not in self.closed_zones
         ]
 
@@ -257,12 +257,25 @@
                 )
         return endpoint_ids
 
+    def list_service_endpoint_ids(self, service: str) -> list[str]:
+        """Returns the ids of `list_service_endpoints`."""
+        return [
+            endpoint.endpoint_id
+            for endpoint in self.list_service_endpoints(service)
+        ]
+
     def list_service_endpoints(self, service: str) -> list[model.Endpoint]:
         """Returns a service's endpoints that are not draining or leaving.
 
         Those in closed zones are included.
         """
-        return self._list_not_leaving(service)
+        return [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.service == service
+            and not endpoint.draining
+            and endpoint.endpoint_id not in self._departures
+        ]
 
     def list_grace_endpoints(
         self, service: str, now_s: float
@@ -279,17 +292,7 @@
         """
         return [
             endpoint
-            for endpoint in self._list_not_leaving(service)
+            for endpoint in self.list_service_endpoints(service)
             if now_s - self.closed_zones.get(endpoint.availability_zone, now_s)
             < ZONE_CLOSING_GRACE_S
         ]
-
-    def _list_not_leaving(self, service: str) -> list[model.Endpoint]:
-        """Returns a service's endpoints that are not draining or leaving."""
-        return [
-            endpoint
-            for endpoint in self.endpoints.values()
-            if endpoint.service == service
-            and not endpoint.draining
-            and endpoint.endpoint_id not in self._departures
-        ]
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -375,33 +375,27 @@
     def assess_reach(self, service: str, now_s: float) -> reach.Reach:
         """Returns whether this process reaches a service."""
         return self.reach_tracker.assess(
-            service, self._list_endpoint_ids(service), now_s
+            service, self._view.list_service_endpoint_ids(service), now_s
         )
 
     def is_reach_in_doubt(self, service: str, now_s: float) -> bool:
         """Whether a connection failed since the service was last reached."""
         return self.reach_tracker.is_in_doubt(
-            self._list_endpoint_ids(service), now_s
+            self._view.list_service_endpoint_ids(service), now_s
         )
 
     def is_unreached(self, service: str, now_s: float) -> bool:
         """Whether connections to many endpoints failed, and none opened."""
         return self.reach_tracker.is_unreached(
-            self._list_endpoint_ids(service), now_s
+            self._view.list_service_endpoint_ids(service), now_s
         )
 
     def get_last_reached_s(self, service: str) -> float:
         """Returns when any endpoint of a service was last reached, in s."""
         return self.reach_tracker.get_last_reached_s(
-            self._list_endpoint_ids(service)
+            self._view.list_service_endpoint_ids(service)
         )
 
-    def _list_endpoint_ids(self, service: str) -> list[str]:
-        return [
-            endpoint.endpoint_id
-            for endpoint in self._view.list_service_endpoints(service)
-        ]
-
     def count_sent(self, endpoint: model.Endpoint, now_s: float) -> None:
         """Counts a request that is about to be sent to an endpoint.
 
