State in the log whether the endpoint of a doubted end was leaving

end_checked now states whether the endpoint was known to be leaving when the body ended and whether its response had announced the close, and a resumed stream that does not continue names its first event. With these the three hypotheses of the incident (a leaving engine that exits with its last run, a crash, a run that a final copy stopped) are told apart in the log.

--- a/libs/gateway/src/dandelionlead/gateway/end_check.py
+++ b/libs/gateway/src/dandelionlead/gateway/end_check.py
@@ -67,16 +67,34 @@
         event_count: Number of events that have arrived, for a stream; None for
             any other body.
         has_end_mark: Whether the body itself marked its end.
+        is_leaving: Whether the endpoint was known to be leaving when the body
+            ended.
+        is_close_announced: Whether the head of the response announced that the
+            endpoint closes the connection after it.
     """
 
-    __slots__ = ("request_id", "event_count", "has_end_mark")
+    __slots__ = (
+        "request_id",
+        "event_count",
+        "has_end_mark",
+        "is_leaving",
+        "is_close_announced",
+    )
 
     def __init__(
-        self, request_id: str, event_count: int | None, *, has_end_mark: bool
+        self,
+        request_id: str,
+        event_count: int | None,
+        *,
+        has_end_mark: bool,
+        is_leaving: bool = False,
+        is_close_announced: bool = False,
     ) -> None:
         self.request_id = request_id
         self.event_count = event_count
         self.has_end_mark = has_end_mark
+        self.is_leaving = is_leaving
+        self.is_close_announced = is_close_announced
 
 
 def find_broken_end(
@@ -109,6 +127,8 @@
         endpoint=endpoint_id,
         complete=is_complete,
         end="mark" if response.has_end_mark else "connection",
+        leaving=response.is_leaving,
+        close_announced=response.is_close_announced,
         requests=request_count,
         took_ms=int((clock.boottime() - started_s) * 1e3),
         reason=evidence.value,
--- a/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
@@ -29,6 +29,10 @@
         self._limits = limits
         self._log = log
 
+    def is_leaving(self, endpoint: model.Endpoint) -> bool:
+        """Whether an endpoint is known to be leaving, by whatever notice."""
+        return self._view.is_leaving(endpoint.endpoint_id)
+
     def handle(
         self, endpoint: model.Endpoint, head: calls.EndpointResponseHead
     ) -> None:
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -234,7 +234,11 @@
         endpoint, request_id = response.endpoint, admitted.call.request_id
         return end_check.find_broken_end(
             end_check.EndedResponse(
-                request_id, event_count, has_end_mark=has_end_mark
+                request_id,
+                event_count,
+                has_end_mark=has_end_mark,
+                is_leaving=self._notices.is_leaving(endpoint),
+                is_close_announced=response.head.closes_connection,
             ),
             functools.partial(
                 self._request_status, endpoint, admitted.service, request_id
--- a/libs/gateway/src/dandelionlead/gateway/stream_checks.py
+++ b/libs/gateway/src/dandelionlead/gateway/stream_checks.py
@@ -167,12 +167,13 @@
         if not self._is_first_after_resumption or not complete_events:
             return None
         self._is_first_after_resumption = False
-        if sse.find_first_event_id(complete_events) == previous_id + 1:
+        first_id = sse.find_first_event_id(complete_events)
+        if first_id == previous_id + 1:
             return None
         return errors.Failure(
             errors.Kind.GENERATION_LOST,
             "the resumed stream does not continue after the last"
-            " forwarded event",
+            f" forwarded event, {previous_id}: its first event is {first_id}",
         )
 
 
