Count the marked end of a leaving endpoint unless it is refuted

Callers saw: all events of a stream, silence for 0.1 to 1.9 s, then a closed connection instead of the end. Engines that are replaced or taken away end their last run with a last chunk and exit with it. gateway.end_check took the closed connection and the silence after it for a crash, although both are expected of an endpoint that leaves: absence of an answer was counted as evidence against an answer.

An end mark now counts if its endpoint was known to be leaving when the body ended, or had announced the close of the connection, unless the endpoint itself refutes it (it lists the run, or more events). If only the close was announced, something that accepts in its place still speaks against the mark. Unannounced closes and ends without a mark need the endpoint's own word as before.

--- a/libs/gateway/src/dandelionlead/gateway/end_check.py
+++ b/libs/gateway/src/dandelionlead/gateway/end_check.py
@@ -5,6 +5,10 @@
 chunk. That something accepts a connection at its address proves nothing: a
 forwarder, an inherited listening socket and a paused process accept too.
 Therefore the endpoint itself is asked.
+
+An endpoint that leaves closes the connection and answers no more either, since
+it exits with its last run. Its silence shows nothing; the end that it has
+marked counts.
 """
 
 from __future__ import annotations
@@ -24,12 +28,17 @@
 # answers.
 FIRST_ANSWER_TIMEOUT_S = 0.5
 _MAX_CHECK_S = 1.5
+# Longest time for an answer if the marked end counts without one. A part of a
+# stream that arrives later than this after its endpoint sent it counts as late.
+_MAX_SILENCE_AFTER_MARK_S = 0.12
 # Pauses after requests that failed: an endpoint closes connections beyond its
 # limit and has room again shortly after.
 _FAILED_PAUSES_S = (0.05, 0.1, 0.2, 0.4)
 # Connections that are refused in a row from which no further one is tried:
 # nothing listens for a dead process.
 _MAX_REFUSED = 2
+# Share of a timeout after which it has passed: timers are rounded.
+_TIMER_PRECISION = 0.99
 # Reports are some hundred milliseconds old, and may still list a run.
 _STALE_REPORT_PAUSE_S = 0.1
 
@@ -42,7 +51,8 @@
         TRUNCATED: It has made more events than have arrived.
         RUNNING: It still lists the run.
         OTHER_START: Another endpoint or a later start has its address.
-        GONE: Nothing answers in its name.
+        GONE: Something accepts connections, but nothing answers in its name.
+        REFUSED: Nothing accepts connections at its address.
         SILENT: No answer arrived in time.
     """
 
@@ -51,9 +61,26 @@
     RUNNING = "the endpoint still lists the run"
     OTHER_START = "another endpoint or a later start has the address"
     GONE = "the endpoint does not answer for itself"
+    REFUSED = "the endpoint refuses connections"
     SILENT = "the endpoint is silent"
 
 
+# What shows that an endpoint has ended. It is expected of one that was leaving.
+ABSENT = frozenset({Evidence.OTHER_START, Evidence.GONE, Evidence.REFUSED})
+# What shows that an endpoint has not ended the run, or not with this body.
+_REFUTING = frozenset({Evidence.TRUNCATED, Evidence.RUNNING})
+# Evidence that another request may change.
+_RETRIED = frozenset({Evidence.GONE, Evidence.REFUSED, Evidence.SILENT})
+# Evidence that does not refute the end that an endpoint has marked. One that is
+# leaving exits with its last run. One that has announced the close of the
+# connection may be leaving, too; but what accepts in its place is no sign of
+# an orderly exit.
+_EXPECTED_IF_LEAVING = frozenset(Evidence) - _REFUTING
+_EXPECTED_IF_CLOSE_ANNOUNCED = frozenset(
+    {Evidence.ENDED, Evidence.REFUSED, Evidence.SILENT}
+)
+_CONFIRMING = frozenset({Evidence.ENDED})
+
 # Requests an endpoint's status within some seconds; over a new connection if
 # the first argument is true.
 StatusRequester = Callable[[bool, float], calls.EndpointStatus | errors.Failure]
@@ -96,6 +123,22 @@
         self.is_leaving = is_leaving
         self.is_close_announced = is_close_announced
 
+    @property
+    def sufficient_evidence(self) -> frozenset[Evidence]:
+        """The evidence with which the response counts as complete.
+
+        Without an end mark, or if the connection closed unexpectedly, only the
+        endpoint's own statement is enough. Otherwise the mark counts unless it
+        is refuted: silence after an expected exit is evidence for neither side.
+        """
+        if not self.has_end_mark:
+            return _CONFIRMING
+        if self.is_leaving:
+            return _EXPECTED_IF_LEAVING
+        if self.is_close_announced:
+            return _EXPECTED_IF_CLOSE_ANNOUNCED
+        return _CONFIRMING
+
 
 def find_broken_end(
     response: EndedResponse,
@@ -106,9 +149,6 @@
 ) -> errors.Failure | None:
     """Returns why a body that has ended may be incomplete, or None.
 
-    It is complete only if its endpoint answers for itself and has ended the
-    run. Silence is no evidence.
-
     Args:
         response: The response.
         request_status: Requests the endpoint's status.
@@ -118,9 +158,12 @@
     """
     started_s = clock.boottime()
     evidence, request_count = collect_evidence(
-        request_status, deadline_s, response.event_count
+        request_status,
+        deadline_s,
+        response.event_count,
+        sufficient=response.sufficient_evidence,
     )
-    is_complete = evidence is Evidence.ENDED
+    is_complete = evidence in response.sufficient_evidence
     log.event(
         "end_checked",
         req=response.request_id,
@@ -145,6 +188,8 @@
     request_status: StatusRequester,
     deadline_s: float,
     event_count: int | None = None,
+    *,
+    sufficient: frozenset[Evidence] = _CONFIRMING,
 ) -> tuple[Evidence, int]:
     """Requests an endpoint's status until the answers are clear.
 
@@ -154,32 +199,41 @@
             `_MAX_CHECK_S`.
         event_count: Number of events of the run that have arrived; None if it
             does not matter whether the endpoint lists a run.
+        sufficient: Evidence after which no further request is made. If it
+            includes silence, no request waits longer for an answer than
+            `_MAX_SILENCE_AFTER_MARK_S`, and all use new connections.
 
     Returns:
         The last evidence and the number of requests.
     """
     deadline_s = min(deadline_s, clock.boottime() + _MAX_CHECK_S)
+    may_be_silent = Evidence.SILENT in sufficient
+    first_timeout_s = (
+        _MAX_SILENCE_AFTER_MARK_S if may_be_silent else FIRST_ANSWER_TIMEOUT_S
+    )
     evidence = Evidence.SILENT
     request_count = failed_count = refused_count = 0
     while True:
         timeout_s = deadline_s - clock.boottime()
         if timeout_s <= 0:
             return evidence, request_count
-        if not failed_count:
-            timeout_s = min(timeout_s, FIRST_ANSWER_TIMEOUT_S)
+        if may_be_silent or not failed_count:
+            timeout_s = min(timeout_s, first_timeout_s)
         asked_s = clock.boottime()
-        status = request_status(failed_count > 0, timeout_s)
+        status = request_status(may_be_silent or failed_count > 0, timeout_s)
         request_count += 1
         # Opening a connection has a shorter limit than later answers.
-        is_silent = clock.boottime() - asked_s >= min(
+        is_silent = clock.boottime() - asked_s >= _TIMER_PRECISION * min(
             timeout_s, FIRST_ANSWER_TIMEOUT_S
         )
         evidence = _judge(status, event_count, is_silent=is_silent)
-        is_refused = isinstance(status, client.RefusedFailure)
+        is_refused = evidence is Evidence.REFUSED
         refused_count = refused_count + 1 if is_refused else 0
+        if evidence in sufficient:
+            return evidence, request_count
         if evidence is Evidence.RUNNING:
             pause_s = _STALE_REPORT_PAUSE_S
-        elif evidence not in (Evidence.GONE, Evidence.SILENT) or (
+        elif evidence not in _RETRIED or (
             failed_count == len(_FAILED_PAUSES_S)
             or refused_count == _MAX_REFUSED
         ):
@@ -203,6 +257,8 @@
         event_count: Number of events of the run that have arrived, or None.
         is_silent: Whether the time for the answer has passed.
     """
+    if isinstance(status, client.RefusedFailure):
+        return Evidence.REFUSED
     if isinstance(status, errors.Failure):
         return Evidence.SILENT if is_silent else Evidence.GONE
     if status.origin is calls.StatusOrigin.OTHER:
--- a/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
@@ -30,7 +30,10 @@
         self._log = log
 
     def is_leaving(self, endpoint: model.Endpoint) -> bool:
-        """Whether an endpoint is known to be leaving, by whatever notice."""
+        """Whether this start of an endpoint is known to be leaving."""
+        entry = self._view.endpoints.get(endpoint.endpoint_id)
+        if entry is not None and not entry.is_same_start(endpoint):
+            return False
         return self._view.is_leaving(endpoint.endpoint_id)
 
     def handle(
--- a/libs/gateway/src/dandelionlead/gateway/sending.py
+++ b/libs/gateway/src/dandelionlead/gateway/sending.py
@@ -201,10 +201,7 @@
             functools.partial(self._request_status, endpoint, service, ""),
             float("inf"),
         )
-        if evidence in (
-            end_check.Evidence.GONE,
-            end_check.Evidence.OTHER_START,
-        ):
+        if evidence in end_check.ABSENT:
             return errors.Failure(errors.Kind.ENDPOINT_FAILED, evidence.value)
         return None
 
