Take a resumed stream that only repeats the last event for whole

Callers saw: a stream that broke off after its last event, or whose end was doubted, was cut although another engine had resumed it. An engine that is asked to go on after the last event of a generation has none to add: it sends that event once more and ends. StreamChecks took this for a wrong continuation (generation_lost).

The repeated event, byte for byte the one that was accepted last, is dropped once, and the stream may end or go on after it. It shows that the engine has the run.

--- a/libs/gateway/src/dandelionlead/gateway/stream_checks.py
+++ b/libs/gateway/src/dandelionlead/gateway/stream_checks.py
@@ -30,6 +30,8 @@
         "_max_output_tokens",
         "_received_event_count",
         "_is_first_after_resumption",
+        "_has_repeated_last_event",
+        "_last_event",
         "_engine_last_id",
         "_is_consecutive",
     )
@@ -39,6 +41,8 @@
         self._max_output_tokens = max_output_tokens
         self._received_event_count = 0
         self._is_first_after_resumption = False
+        self._has_repeated_last_event = False
+        self._last_event = b""
         # Last id in the present engine's stream, None before the first, and
         # whether its ids rise by one, None before the second.
         self._engine_last_id: int | None = None
@@ -71,12 +75,16 @@
             splitter.event_count,
         )
         complete_events = splitter.feed(data)
+        if self._is_first_after_resumption:
+            complete_events = self._drop_repeated_event(complete_events)
         failure = self._find_excess(complete_events)
         if failure is None:
             failure = self._find_wrong_resumption(complete_events, previous_id)
         if failure is None:
             failure = self._find_wrong_order(splitter.new_event_ids)
         if failure is None:
+            if complete_events:
+                self._last_event = sse.find_last_event(complete_events)
             return complete_events
         splitter.rewind(previous_id, previous_count)
         return failure
@@ -92,7 +100,10 @@
         """
         if self._splitter.incomplete_event:
             return _make_failure("the stream ended inside an event")
-        if self._is_first_after_resumption:
+        if (
+            self._is_first_after_resumption
+            and not self._has_repeated_last_event
+        ):
             return _make_failure("the resumed stream ended without an event")
         if ends_with_connection and not self._splitter.event_count:
             return _make_failure("the stream ended without an event")
@@ -109,8 +120,35 @@
         there was one.
         """
         self._is_first_after_resumption = self._splitter.event_count > 0
+        self._has_repeated_last_event = False
         self._engine_last_id = self._is_consecutive = None
 
+    def _drop_repeated_event(self, complete_events: bytes) -> bytes:
+        """Removes the last accepted event from the start of a resumed stream.
+
+        An engine that resumes a run after the last event of its generation has
+        none to add, and sends that event once more. This shows that it has the
+        run, which an empty stream does not.
+
+        Args:
+            complete_events: Bytes of complete events; may be empty.
+
+        Returns:
+            The events that follow the repeated one, or all if none is repeated.
+        """
+        size = complete_events.find(sse.EVENT_END) + len(sse.EVENT_END)
+        event = complete_events[:size]
+        if (
+            self._has_repeated_last_event
+            or size < len(sse.EVENT_END)
+            or sse.find_first_event_id(event) is None
+            or event != self._last_event
+        ):
+            return complete_events
+        self._has_repeated_last_event = True
+        self._splitter.drop_first_event()
+        return complete_events[size:]
+
     def _find_excess(self, complete_events: bytes) -> errors.Failure | None:
         """Returns why the bytes that arrived are no stream of events, or None.
 
--- a/libs/gateway/tests/test_stream_checks.py
+++ b/libs/gateway/tests/test_stream_checks.py
@@ -49,6 +49,49 @@
                     self.assertEqual(result, data)
                     self.assertEqual(checks.last_event_id, event_ids[-1])
 
+    # Bytes of a stream that resumes after event 3, and what is forwarded of
+    # them. None if they do not continue the stream. Then whether the stream
+    # may end after them.
+    RESUMED = (
+        (_make_events(3), b"", True),
+        (_make_events(3, 4), _make_events(4), True),
+        (_make_events(4), _make_events(4), True),
+        (b"", b"", False),
+        (b": comment\n\n", None, False),
+        (_make_events(3)[:-1], b"", False),
+        (_make_events(3, 3), None, False),
+        (_make_events(3, 5), None, False),
+        (_make_events(2), None, False),
+        (_make_events(2, 3), None, False),
+        (b"id: 3\ndata: b\n\n", None, False),
+    )
+
+    def test_repetition_of_the_last_event_shows_that_none_is_missing(
+        self,
+    ) -> None:
+        """Guards against whole answers that are cut (LOST).
+
+        An engine that has no event to add repeats the last one. Neither an
+        empty stream nor any other event shows that it has the run.
+        """
+        for data, forwarded, may_end in self.RESUMED:
+            for reads in ((data,), (data[:9], data[9:])):
+                with self.subTest(reads):
+                    checks = stream_checks.StreamChecks(0, 400)
+                    checks.accept(_make_events(1, 2, 3))
+                    checks.begin_resumed_stream()
+                    results = [checks.accept(part) for part in reads]
+                    if forwarded is None:
+                        self.assertIsInstance(results[-1], errors.Failure)
+                        self.assertEqual(checks.event_count, 3)
+                        continue
+                    self.assertEqual(b"".join(results), forwarded)
+                    count = 3 + forwarded.count(b"id: ")
+                    self.assertEqual(checks.event_count, count)
+                    self.assertEqual(checks.last_event_id, count)
+                    failure = checks.find_truncation(ends_with_connection=False)
+                    self.assertEqual(failure is None, may_end)
+
     def test_each_engine_numbers_its_stream_anew(self) -> None:
         checks = stream_checks.StreamChecks(0, 400)
         self.assertTrue(checks.accept(_make_events(1, 2)))
--- a/libs/http/src/dandelionlead/http/sse.py
+++ b/libs/http/src/dandelionlead/http/sse.py
@@ -71,11 +71,26 @@
         self.last_event_id = last_event_id
         self.event_count = event_count
 
+    def drop_first_event(self) -> None:
+        """Does not count the first event with an id of the last `feed`."""
+        self.event_count -= 1
+        del self.new_event_ids[0]
+
     def drop_incomplete_event(self) -> None:
         """Drops the incomplete event; another endpoint will send it again."""
         self._incomplete = b""
 
 
+def find_last_event(events: bytes) -> bytes:
+    """Returns the bytes of the last event; empty if there is none.
+
+    Args:
+        events: Bytes of complete events.
+    """
+    start = events.rfind(EVENT_END, 0, -len(EVENT_END))
+    return events[start + len(EVENT_END) if start >= 0 else 0 :]
+
+
 def find_first_event_id(events: bytes) -> int | None:
     """Returns the id of the first event; None if it has none.
 
