Exit directly on a SIGTERM during the start, so that it is not lost

Cause: until the entry process sets its own handlers, SIGTERM raised SystemExit in whatever code it interrupted. The interpreter discards an exception in a weak reference callback (importlib has one for the lock of each module), in a finalizer, in an `except:` clause, and in the compiler's constant folding: evaluating `2**63 - 1` runs pending handlers and clears their exception. The process then started and served, and the signal was lost. A SIGTERM that arrives while core/decoding.py or row_decoding.py is compiled is handled exactly there, wherever no bytecode is cached (PYTHONDONTWRITEBYTECODE, a fresh checkout).

--- a/tools/soak_entry.py
+++ b/tools/soak_entry.py
@@ -11,16 +11,16 @@
 
 import pathlib
 import runpy
-import signal
 import sys
 
-# As in serve.py, which installs it only after the imports below.
-signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
-signal.signal(signal.SIGHUP, signal.SIG_IGN)
-
 _PLATFORM = pathlib.Path(__file__).resolve().parent.parent / "platform"
 sys.path.insert(0, str(_PLATFORM))
 
+import start_signals  # noqa: E402
+
+# As in serve.py, which installs them only after the imports below.
+start_signals.install_handlers()
+
 import import_paths  # noqa: E402, F401
 
 # isort: split
