Tell peers no new failures while the reach of a service is in doubt

Cause: a process that loses its paths to a service fails at one endpoint first. PeerState left failures out only once the service counted as unreached, that is after failures at four of its endpoints, or at all; until then the failures at the first ones were stated to the peers, which avoid sound endpoints for it. Rollouts and crash checks already waited for that verdict (CrashDetector.confirm_failure); the evidence in the states did not.

Change: after a failed connection nothing new is stated of the service until another connection opens. What was stated before is kept meanwhile, so that evidence about an endpoint that is down does not come and go with each new failure.

--- a/libs/gateway/src/dandelionlead/gateway/peer_state.py
+++ b/libs/gateway/src/dandelionlead/gateway/peer_state.py
@@ -420,14 +420,7 @@
 
     def _update_sent_evidence(self, now_s: float) -> dict[str, health.Evidence]:
         """Returns the evidence to send, the last one unless it has changed."""
-        tracker = self._process_state.scheduler.health_tracker
-        present = {
-            endpoint_id: evidence
-            for endpoint_id, evidence in (
-                tracker.get_reportable_evidence(now_s).items()
-            )
-            if not self._is_path_fault(endpoint_id)
-        }
+        present = self._find_endpoint_evidence(now_s)
         sent = self._sent_evidence
         if present.keys() != sent.keys() or any(
             abs(evidence.failures - sent[endpoint_id].failures)
@@ -437,17 +430,39 @@
             self._sent_evidence = present
         return self._sent_evidence
 
-    def _is_path_fault(self, endpoint_id: str) -> bool:
-        """Whether failures at an endpoint may be those of the paths to it.
+    def _find_endpoint_evidence(
+        self, now_s: float
+    ) -> dict[str, health.Evidence]:
+        """Returns the evidence about endpoints, without that about paths.
 
         A process that reaches no endpoint of a service tells its peers nothing
-        about single ones: either it is cut off, or they fail there, too.
+        about single ones: either it is cut off, or they fail there, too. While
+        it is in doubt whether it reaches the service, it goes on telling what
+        it told before, and nothing new.
         """
-        state = self._process_state
-        endpoint = state.view.endpoints.get(endpoint_id)
-        return endpoint is not None and (
-            state.scheduler.reach_statements.is_unreached(endpoint.service)
-        )
+        scheduler = self._process_state.scheduler
+        endpoints = self._process_state.view.endpoints
+        evidence = scheduler.health_tracker.get_reportable_evidence(now_s)
+        services = {
+            endpoint_id: endpoints[endpoint_id].service
+            for endpoint_id in evidence
+            if endpoint_id in endpoints
+        }
+        services_in_doubt = {
+            service
+            for service in set(services.values())
+            if scheduler.is_reach_in_doubt(service, now_s)
+        }
+        present = {}
+        for endpoint_id, item in evidence.items():
+            service = services.get(endpoint_id, "")
+            if scheduler.reach_statements.is_unreached(service):
+                continue
+            if service not in services_in_doubt:
+                present[endpoint_id] = item
+            elif endpoint_id in self._sent_evidence:
+                present[endpoint_id] = self._sent_evidence[endpoint_id]
+        return present
 
     def _encode_version_counts(self) -> list[ttypes.VersionCount]:
         """Returns this process's call counts for rollouts without a verdict."""
--- a/libs/gateway/tests/test_state.py
+++ b/libs/gateway/tests/test_state.py
@@ -128,6 +128,71 @@
         self.assertEqual(self.changes, [("k", b"1"), ("k", None)])
 
 
+class SentEvidenceTest(unittest.TestCase):
+    """Guards against peers that avoid sound endpoints.
+
+    A process that loses its paths to a service fails at one endpoint first. It
+    must not state that as a failure of the endpoint before it has found out
+    whether it reaches another one.
+    """
+
+    _SERVICE = "s"
+    _ENDPOINT_IDS = ("e0", "e1", "e2", "e3")
+
+    def setUp(self) -> None:
+        self.view = routing_view.RoutingView()
+        for endpoint_id in self._ENDPOINT_IDS:
+            self.view.set_endpoint(
+                model.Endpoint(endpoint_id, self._SERVICE, "10.0.0.1", 1, "a")
+            )
+        self.scheduler = _make_scheduler(self.view)
+        self.peer_state = _make_peer_state("own", self.view, self.scheduler)
+
+    def _fail_connection(self, endpoint_id: str, now_s: float) -> None:
+        self.scheduler.health_tracker.record_unreachable(endpoint_id, now_s)
+        self.scheduler.reach_tracker.record_unreached(endpoint_id, now_s)
+
+    def _open_connection(self, endpoint_id: str, now_s: float) -> None:
+        self.scheduler.reach_tracker.record_reached(endpoint_id, now_s)
+
+    def _list_stated_ids(self, now_s: float) -> list[str]:
+        self.scheduler.reach_statements.update(
+            self.view.list_endpoint_ids_by_service(), now_s
+        )
+        state = self.peer_state.build_state(1, now_s)
+        return [item.endpoint_id for item in state.doubtful]
+
+    def test_failures_are_stated_once_another_endpoint_is_reached(self) -> None:
+        self._open_connection("e1", 10.0)
+        self._fail_connection("e0", 11.0)
+        self._fail_connection("e0", 11.1)
+        self.assertEqual(self._list_stated_ids(11.2), [])
+        self._open_connection("e2", 11.3)
+        self.assertEqual(self._list_stated_ids(11.4), ["e0"])
+
+    def test_failures_of_lost_paths_are_never_stated(self) -> None:
+        self._open_connection("e1", 10.0)
+        now_s = 11.0
+        for endpoint_id in self._ENDPOINT_IDS:
+            for _ in range(2):
+                self._fail_connection(endpoint_id, now_s)
+                now_s += 0.1
+                self.assertEqual(self._list_stated_ids(now_s), [])
+
+    def test_stated_failures_are_kept_while_reach_is_in_doubt(self) -> None:
+        """Guards against evidence that disappears with each new failure."""
+        self._fail_connection("e0", 11.0)
+        self._fail_connection("e0", 11.1)
+        self._open_connection("e1", 11.2)
+        self.assertEqual(self._list_stated_ids(11.3), ["e0"])
+        self._fail_connection("e0", 11.4)
+        self._fail_connection("e2", 11.4)
+        self._fail_connection("e2", 11.5)
+        self.assertEqual(self._list_stated_ids(11.6), ["e0"])
+        self._open_connection("e1", 11.7)
+        self.assertEqual(self._list_stated_ids(11.8), ["e0", "e2"])
+
+
 class RosterTest(unittest.TestCase):
     """Guards against callers at dead processes and against old states."""
 
