Use a connection that opened while the event loop was blocked

Cause: if the loop was blocked while it handled a socket, it runs its timers before it looks at sockets. A connection whose handshake had ended meanwhile failed with "timed out", and a call, a probe or a crash check took a sound endpoint for unreachable, which also puts the reach of its service in doubt. receive_bytes already reads once more for this reason; connect did not.

Change: after a timeout the result of the handshake is read once more. A refusal that came meanwhile is reported as such.

--- a/libs/http/src/dandelionlead/http/client.py
+++ b/libs/http/src/dandelionlead/http/client.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import contextlib
+import errno
+import os
 import socket
 import struct
 
@@ -561,8 +563,7 @@
     sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         set_socket_options(sock)
-        sock.settimeout(max(0.01, timeout_s))
-        sock.connect(address)
+        _connect_socket(sock, address, timeout_s)
     except OSError as exc:
         sock.close()
         is_refused = isinstance(exc, ConnectionRefusedError)
@@ -574,6 +575,28 @@
     return ClientConnection(address, sock, memory)
 
 
+def _connect_socket(
+    sock: green_socket.GreenSocket, address: tuple[str, int], timeout_s: float
+) -> None:
+    """Connects a socket.
+
+    Raises:
+        TimeoutError: The connection was not opened in time.
+        OSError: The connection failed.
+    """
+    sock.settimeout(max(0.01, timeout_s))
+    try:
+        sock.connect(address)
+    except TimeoutError:
+        # The handshake may have ended in time while the event loop was
+        # blocked, so its result is read once more.
+        result = sock.fd.connect_ex(address)
+        if result in (errno.EALREADY, errno.EINPROGRESS):
+            raise
+        if result not in (0, errno.EISCONN):
+            raise OSError(result, os.strerror(result)) from None
+
+
 def receive_bytes(
     sock: green_socket.GreenSocket, size: int, timeout_s: float
 ) -> bytes:
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -9,6 +9,7 @@
 import contextlib
 import socket
 import struct
+import time
 import unittest
 
 import eventlet
@@ -438,6 +439,41 @@
         self.assertEqual(head.kind, errors.Kind.ENDPOINT_SILENT)
         self.assertLess(clock.boottime() - started_s, 1.0)
 
+    def test_connection_that_opened_while_the_loop_was_blocked_is_used(
+        self,
+    ) -> None:
+        """Guards against a sound endpoint that counts as unreachable.
+
+        Timers run before sockets are looked at if the event loop was blocked
+        while it handled a socket.
+        """
+        listener = _socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        listener.settimeout(10.0)
+        # While the queue of the listener is full, no connection opens.
+        with _socket.create_connection(listener.getsockname()):
+            sock, peer_sock = green_socket.socketpair()
+            self.addCleanup(sock.close)
+            self.addCleanup(peer_sock.close)
+            timeout_s = 1.5
+            deadline_s = clock.boottime() + timeout_s
+
+            def block_loop() -> None:
+                sock.recv(1)
+                for _ in range(2):
+                    accepted, _ = listener.accept()
+                    self.addCleanup(accepted.close)
+                time.sleep(max(0.0, deadline_s + 0.3 - clock.boottime()))
+
+            eventlet.spawn_n(block_loop)
+            eventlet.spawn_after(0.1, peer_sock.send, b"x")
+            conn = client.connect(listener.getsockname(), timeout_s)
+        self.assertGreater(clock.boottime(), deadline_s)
+        self.assertIsInstance(conn, client.ClientConnection)
+        conn.close()
+
     def test_refused_connection_counts_as_not_run(self) -> None:
         sock = socket.socket()
         sock.bind(("127.0.0.1", 0))
