Soak: engines that leave in the ordinary course, and whole answers that are cut

A leaving engine announces it (its row `draining`, its row removed, or `Server-Leaving` alone), ends its open runs whole and exits with the last one; its address then refuses, closes, resets or is silent. A stream with a last chunk that it ended whole must reach its caller as complete. What the soak did itself (a final copy, a fault on the path, an entry that was killed or suspended, an end at the deadline) allows a cut, and so does missing framing; these are counted apart.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -79,7 +79,7 @@
             duration_s: Seconds for which faults are injected.
         """
         for zone in soak_system.ZONES:
-            for service in ("engines", "engines", "plain"):
+            for service in ("engines", "engines", "engines", "plain"):
                 self._add_worker(service, zone)
         for _ in range(self._entry_count):
             self._add_entry()
@@ -92,6 +92,7 @@
             eventlet.spawn_n(self._send_requests)
         deadline_s = clock.boottime() + duration_s
         eventlet.spawn_n(self.end_engines, deadline_s)
+        eventlet.spawn_n(self.leave_engines, deadline_s)
         if self._has_paths:
             eventlet.spawn_n(self.cut_paths, deadline_s)
             for _ in range(_LIST_CALLER_COUNT):
@@ -225,6 +226,14 @@
             kind, request_id, response, soak_system.EVENT_COUNT
         )
         self._check_answer_at_stop(host, request_id, sent_at_s, response)
+        broken_at_s = self._broken_at_s.get(host, float("-inf"))
+        self.observations.check_cut(
+            request_id,
+            response,
+            sent_at_s + deadline_ms / 1e3,
+            soak_system.EVENT_COUNT,
+            is_entry_broken=broken_at_s >= sent_at_s,
+        )
         is_key_revoked = (
             sent_at_s - self._key_revoked_at_s > _KEY_REVOKE_LIMIT_S
         )
@@ -334,6 +343,11 @@
         print(f"{kind} {status}: {count}")
     for cut in soak.observations.cuts:
         print(f"cut: {cut}")
+    print(f"leaving engines: {soak.observations.leaving_ends}")
+    print(
+        f"ended early: {len(soak.observations.early_ends)}, of these complete"
+        f" at their callers: {soak.observations.early_complete_count}"
+    )
     for text in soak.observations.violations:
         print(f"violation: {text}")
     if evidence_folder is not None:
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -21,6 +21,14 @@
 # Time from the early end of one engine to the next, and until it starts again.
 _ENGINE_END_PAUSE_RANGE_S = (0.3, 2.0)
 _ENGINE_RESTART_RANGE_S = (1.0, 3.0)
+# Time from one engine that leaves to the next. Its streams are slowed down, so
+# that they outlast its notice.
+_LEAVE_PAUSE_RANGE_S = (0.3, 1.5)
+_LEAVING_EVENT_INTERVAL_RANGE_S = (0.05, 0.12)
+# High, since a run that can be copied is migrated and ends elsewhere.
+_REJECT_COPIES_PROBABILITY = 0.8
+# How an engine announces that it leaves, beside the header of its responses.
+_LEAVING_NOTICES = ("draining", "removed", "header alone")
 # Low, since most new starts have a new id.
 _SAME_ID_PROBABILITY = 0.2
 # What the address of an engine does after its process has ended.
@@ -68,9 +76,7 @@
 
     def _end_engine(self) -> None:
         """Ends an engine so that its streams look complete; restarts it."""
-        engines = [
-            worker for worker in self._workers if worker.service == "engines"
-        ]
+        engines = self._list_engines()
         if len(engines) < 2:
             return
         worker = self._rng.choice(engines)
@@ -88,12 +94,66 @@
     def _restart_engine(self, worker: soak_workers.SoakWorker) -> None:
         worker_id = worker.worker_id
         if self._rng.random() >= _SAME_ID_PROBABILITY:
-            self._store.delete_row("servers", worker_id)
+            if self._store.has_row("servers", worker_id):
+                self._store.delete_row("servers", worker_id)
             self._worker_count += 1
             worker_id = f"w{self._worker_count}"
         worker.start_process(worker_id)
         self._list_worker(worker)
 
+    def leave_engines(self, deadline_s: float) -> None:
+        """Makes engines leave one after another until a deadline.
+
+        Args:
+            deadline_s: Deadline in seconds of `clock.boottime`.
+        """
+        while clock.boottime() < deadline_s:
+            self._make_engine_leave()
+            if self._rng.random() < 0.5:
+                self._resend_configuration()
+            eventlet.sleep(self._rng.uniform(*_LEAVE_PAUSE_RANGE_S))
+
+    def _make_engine_leave(self) -> None:
+        """Makes an engine leave; another one has its address later."""
+        engines = self._list_engines()
+        if len(engines) < 2:
+            return
+        # An idle engine would exit without having ended a stream.
+        busy_engines = [worker for worker in engines if worker.is_busy]
+        worker = self._rng.choice(busy_engines or engines)
+        self._workers.remove(worker)
+        notice = self._rng.choice(_LEAVING_NOTICES)
+        acceptance = self._rng.choice(_ACCEPTANCES_AFTER_END)
+        worker.rejects_copies = self._rng.random() < _REJECT_COPIES_PROBABILITY
+        worker.event_interval_s = self._rng.uniform(
+            *_LEAVING_EVENT_INTERVAL_RANGE_S
+        )
+        if notice == "draining":
+            entry = worker.make_entry("draining")
+            self._store.put_row("servers", worker.worker_id, entry)
+        elif notice == "removed":
+            self._store.delete_row("servers", worker.worker_id)
+        self.observations.add_fault(
+            f"leave {worker.worker_id}: {notice}, then {acceptance.value}"
+        )
+        worker.leave(
+            acceptance,
+            self.observations.leaving_ends.record_end,
+            lambda: self._record_exit(worker),
+            has_row_notice=notice != "header alone",
+        )
+
+    def _record_exit(self, worker: soak_workers.SoakWorker) -> None:
+        self.observations.leaving_ends.engine_count += 1
+        self.observations.add_fault(f"exit {worker.worker_id}")
+        duration_s = self._rng.uniform(*_ENGINE_RESTART_RANGE_S)
+        eventlet.spawn_after(duration_s, self._restart_engine, worker)
+
+    def _list_engines(self) -> list[soak_workers.SoakWorker]:
+        return [
+            worker for worker in self._workers if worker.service == "engines"
+        ]
+
     def cut_paths(self, deadline_s: float) -> None:
         """Cuts entries from workers, once after the other, until a deadline.
 
@@ -163,9 +223,7 @@
 
     def _terminate_entry_with_full_engines(self) -> None:
         """Stops an entry while no engine begins a run for longer than it."""
-        engines = [
-            worker for worker in self._workers if worker.service == "engines"
-        ]
+        engines = self._list_engines()
         for worker in engines:
             worker.behaviour = "silent"
 
--- a/tools/soak_observations.py
+++ b/tools/soak_observations.py
@@ -7,6 +7,7 @@
 
 import harness
 import soak_cuts
+import soak_leaving
 
 from dandelionlead.core import clock
 
@@ -30,6 +31,8 @@
             states that the request did not run.
         cuts: Cuts of paths from entries to workers.
         early_ends: How workers ended streams early, by request id.
+        early_complete_count: Number of complete streams of wrong events.
+        leaving_ends: Ends of the streams of leaving engines.
         max_run_counts: Number of times that each request id may reach a worker;
             contains no requests for streams.
     """
@@ -43,6 +46,8 @@
         self.not_run_statuses: dict[str, int] = {}
         self.cuts: list[soak_cuts.CutPaths] = []
         self.early_ends: dict[str, str] = {}
+        self.early_complete_count = 0
+        self.leaving_ends = soak_leaving.LeavingEnds()
         self.max_run_counts: dict[str, int] = {}
 
     def add_violation(self, text: str) -> None:
@@ -162,11 +167,9 @@
                     f"{request_id} got an unexpected body: {response.body!r}"
                 )
             return
-        expected_stream = b"".join(
-            b"id: %d\ndata: t%d\n\n" % (number, number)
-            for number in range(1, event_count + 1)
-        )
+        expected_stream = _make_stream(event_count)
         if response.is_complete and response.body != expected_stream:
+            self.early_complete_count += 1
             self.add_violation(
                 f"{request_id} got a complete stream of wrong events,"
                 f" {response.body.count(_EVENT_END)} of {event_count};"
@@ -177,5 +180,39 @@
                 f"{request_id} got missing, repeated or wrong events"
             )
 
+    def check_cut(
+        self,
+        request_id: str,
+        response: harness.Response,
+        deadline_s: float,
+        event_count: int,
+        *,
+        is_entry_broken: bool,
+    ) -> None:
+        """Records a violation if a whole stream was cut at its end.
+
+        Args:
+            request_id: Id of the request.
+            response: What its caller has received.
+            deadline_s: Deadline of the request in seconds of `clock.boottime`.
+            event_count: Number of events of a whole stream.
+            is_entry_broken: Whether its entry was killed or suspended.
+        """
+        if response.is_complete or response.body != _make_stream(event_count):
+            return
+        violation = self.leaving_ends.check_cut(
+            request_id, deadline_s, is_entry_broken=is_entry_broken
+        )
+        if violation:
+            self.add_violation(violation)
+
     def _compute_elapsed_s(self) -> float:
         return clock.boottime() - self._started_s
+
+
+def _make_stream(event_count: int) -> bytes:
+    """Returns the body of a whole stream."""
+    return b"".join(
+        b"id: %d\ndata: t%d\n\n" % (number, number)
+        for number in range(1, event_count + 1)
+    )
--- a/tools/soak_proxy.py
+++ b/tools/soak_proxy.py
@@ -63,6 +63,11 @@
         for port in self._ports:
             self._listen(port)
 
+    @property
+    def is_passing(self) -> bool:
+        """Whether all bytes of open connections are forwarded."""
+        return self.mode not in ("silent", "reset") and not self._cuts
+
     def set_acceptance(self, acceptance: Acceptance) -> None:
         """Changes what happens to new connections; open ones are left as is.
 
--- a/tools/soak_workers.py
+++ b/tools/soak_workers.py
@@ -11,8 +11,10 @@
 import fakes
 import h11
 import harness
+import soak_leaving
 import soak_proxy
 
+from dandelionlead.core import clock
 from dandelionlead.http import client
 from dandelionlead.http import disconnect_watcher
 from dandelionlead.http import listener
@@ -25,6 +27,9 @@
 _NOT_EXECUTED = (b"X-Dandelionlead-Not-Executed", b"1")
 # Priority of each run in a report; calls that name none have this one.
 _PRIORITY = 5
+_LEAVING = (b"Server-Leaving", b"1")
+# Shortest time from the first notice that an engine leaves until it exits.
+_NOTICE_S = 1.5
 # One of so many streams of a worker has neither a length nor chunks.
 UNFRAMED_EVERY = 3
 
@@ -39,6 +44,8 @@
         proxy: The proxy through which entries reach the worker.
         born_ms: When its process started, in milliseconds of Unix time.
         is_dead: Whether its process has ended and has not started again.
+        is_leaving: Whether it ends its open runs and exits with the last one.
+        rejects_copies: Whether it rejects calls to copy a run that goes on.
     """
 
     def __init__(
@@ -66,6 +73,13 @@
         self._record_arrival = record_arrival
         self._stream_count = 0
         self._open_streams: dict[str, _StreamWriter] = {}
+        # Both are set while the worker leaves.
+        self._record_end: _EndRecorder | None = None
+        self._exit: Callable[[], None] | None = None
+        self._exit_text = ""
+        self._exits_after_s = float("inf")
+        self.is_leaving = False
+        self.rejects_copies = False
         self.born_ms = _read_unix_ms()
         self.is_dead = False
         super().__init__((harness.next_ip(), PORT), f"w{number}", service)
@@ -73,6 +87,11 @@
         self.proxy = soak_proxy.FaultProxy(self.address, path_count)
         fakes.WORKERS_BY_ADDRESS[f"{self.proxy.address[0]}:{PORT}"] = self
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether it has a stream that has not ended."""
+        return bool(self._open_streams)
+
     def make_entry(self, state: str = "ready", **fields: object) -> dict:
         """Returns the value of the worker's row in the table `servers`."""
         own_fields = {
@@ -111,12 +130,48 @@
         self.proxy.set_acceptance(acceptance)
         return ends
 
+    def leave(
+        self,
+        acceptance: soak_proxy.Acceptance,
+        record_end: _EndRecorder,
+        record_exit: Callable[[], None],
+        *,
+        has_row_notice: bool,
+    ) -> None:
+        """Leaves in the ordinary course: exits when its last run has ended.
+
+        Args:
+            acceptance: What its address does with new connections afterwards.
+            record_end: Called with the request id and the end of each stream
+                that it ends until then.
+            record_exit: Called after its process has ended.
+            has_row_notice: Whether its row states that it leaves. Otherwise,
+                its next response is the first notice.
+        """
+
+        def end_process() -> None:
+            self.end_process(acceptance, must_end_chunks=False)
+            record_exit()
+
+        self.is_leaving = True
+        self.notice_headers = [_LEAVING]
+        self._record_end = record_end
+        self._exit = end_process
+        self._exit_text = f"{self.worker_id} left; then: {acceptance.value}"
+        if has_row_notice:
+            self.leaving_since_s = clock.boottime()
+            self._start_notice()
+
     def start_process(self, worker_id: str) -> None:
         """Starts again after its end, without anything of before."""
         self.worker_id = worker_id
         self.born_ms = _read_unix_ms()
         self.is_dead = False
         self.behaviour = "ok"
+        self.is_leaving = self.rejects_copies = False
+        self.leaving_since_s = self._exits_after_s = float("inf")
+        self.notice_headers = []
+        self.event_interval_s = fakes.EVENT_INTERVAL_S
         self.copied_events.clear()
         self.migrated_request_ids.clear()
         self._listener = listener.Listener(self.address, self)
@@ -132,7 +187,9 @@
         headers = {name.lower(): value for name, value in request.headers}
         own_id = self.worker_id.encode()
         expected_id = headers.get(b"x-dandelionlead-expect-instance", own_id)
-        if request.target not in (b"/report", b"/health"):
+        if request.target == b"/kv-move" and self._is_copy_rejected(request):
+            response_writer.send_response(503, [_JSON_CONTENT_TYPE], b"{}")
+        elif request.target not in (b"/report", b"/health"):
             super().handle(request, response_writer)
         elif expected_id != own_id:
             response_writer.send_response(421, [_NOT_EXECUTED], b"")
@@ -142,20 +199,27 @@
             )
         else:
             identity = (b"X-Dandelionlead-Instance-Id", own_id)
-            is_leaving = self.leaving_since_s < float("inf")
             response_writer.send_response(
-                503 if is_leaving else 200, [identity], b""
+                503 if self._has_state_draining() else 200, [identity], b""
             )
 
+    def is_closing(self) -> bool:
+        return self.is_leaving
+
+    def _is_copy_rejected(self, request: request_reader.Request) -> bool:
+        return self.rejects_copies and not json.loads(request.body)["last"]
+
+    def _has_state_draining(self) -> bool:
+        return self.is_leaving or self.leaving_since_s < float("inf")
+
     def _make_report(self) -> bytes:
-        is_leaving = self.leaving_since_s < float("inf")
         runs = [
             [request_id, event_count, event_count, _PRIORITY]
             for request_id, event_count in self.events_sent.items()
         ]
         fields = {
             "born": self.born_ms,
-            "state": "draining" if is_leaving else "ready",
+            "state": "draining" if self._has_state_draining() else "ready",
             "running": len(runs),
             "runs": runs,
         }
@@ -182,8 +246,44 @@
             super()._send_response(
                 request, request_id, headers, response_writer
             )
+            if self.is_leaving:
+                end = self._make_stream_end(request_id, response_writer)
+                self._record_end(request_id, end)
         finally:
             self._open_streams.pop(request_id, None)
+            self._exit_if_idle()
+
+    def _make_signed_headers(self, request_id: str) -> client.Headers:
+        if self.is_leaving and self._exits_after_s == float("inf"):
+            self._start_notice()
+        return super()._make_signed_headers(request_id)
+
+    def _start_notice(self) -> None:
+        self._exits_after_s = clock.boottime() + _NOTICE_S
+        eventlet.spawn_after(_NOTICE_S, self._exit_if_idle)
+
+    def _exit_if_idle(self) -> None:
+        """Ends the process if it leaves and has no run any more."""
+        is_due = clock.boottime() >= self._exits_after_s
+        if is_due and not self.is_busy and not self.is_dead:
+            self._exit()
+
+    def _make_stream_end(
+        self, request_id: str, response_writer: _StreamWriter
+    ) -> soak_leaving.StreamEnd:
+        excuse = ""
+        if request_id in self.migrated_request_ids:
+            excuse = "a final copy"
+        elif not self.proxy.is_passing:
+            excuse = "a fault on the path"
+        return soak_leaving.StreamEnd(
+            self._exit_text,
+            clock.boottime(),
+            is_whole=self.events_sent[request_id] == self.stream_length,
+            has_last_chunk=isinstance(response_writer, server.ResponseWriter)
+            and response_writer.has_ended,
+            excuse=excuse,
+        )
 
 
 class _UnframedWriter:
@@ -220,6 +320,7 @@
 
 
 _StreamWriter = server.ResponseWriter | _UnframedWriter
+_EndRecorder = Callable[[str, soak_leaving.StreamEnd], None]
 
 
 def _end_chunks(
