Soak: engines that leave and crash before their last run has ended

Their streams end early, without a last chunk, as those of any engine that crashes; none of them may reach its caller as complete.

--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -79,10 +79,14 @@
         engines = self._list_engines()
         if len(engines) < 2:
             return
-        worker = self._rng.choice(engines)
+        worker = self._rng.choice([*engines, *self._leaving_engines])
         acceptance = self._rng.choice(_ACCEPTANCES_AFTER_END)
-        must_end_chunks = self._rng.random() < 0.5
-        self._workers.remove(worker)
+        # The last chunk of an engine that leaves is its own word.
+        must_end_chunks = not worker.is_leaving and self._rng.random() < 0.5
+        if worker.is_leaving:
+            self._leaving_engines.remove(worker)
+        else:
+            self._workers.remove(worker)
         ends = worker.end_process(acceptance, must_end_chunks=must_end_chunks)
         self.observations.early_ends.update(ends)
         self.observations.add_fault(
@@ -122,6 +126,7 @@
         busy_engines = [worker for worker in engines if worker.is_busy]
         worker = self._rng.choice(busy_engines or engines)
         self._workers.remove(worker)
+        self._leaving_engines.append(worker)
         notice = self._rng.choice(_LEAVING_NOTICES)
         acceptance = self._rng.choice(_ACCEPTANCES_AFTER_END)
         worker.rejects_copies = self._rng.random() < _REJECT_COPIES_PROBABILITY
@@ -144,6 +149,7 @@
         )
 
     def _record_exit(self, worker: soak_workers.SoakWorker) -> None:
+        self._leaving_engines.remove(worker)
         self.observations.leaving_ends.engine_count += 1
         self.observations.add_fault(f"exit {worker.worker_id}")
         duration_s = self._rng.uniform(*_ENGINE_RESTART_RANGE_S)
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -59,6 +59,7 @@
         self._store.put_row("op", "config", _make_configuration(7))
         self._configuration_version = 7
         self._workers: list[soak_workers.SoakWorker] = []
+        self._leaving_engines: list[soak_workers.SoakWorker] = []
         self._entries: dict[str, subprocess.Popen] = {}
         self._store_proxies: dict[str, soak_proxy.FaultProxy] = {}
         self._disturbed_until_s = 0.0
--- a/tools/soak_workers.py
+++ b/tools/soak_workers.py
@@ -246,7 +246,7 @@
             super()._send_response(
                 request, request_id, headers, response_writer
             )
-            if self.is_leaving:
+            if self.is_leaving and not self.is_dead:
                 end = self._make_stream_end(request_id, response_writer)
                 self._record_end(request_id, end)
         finally:
