Do not count what a leaving endpoint cuts off against its version

Cause: each call without a complete response counted as a failure of the version of its endpoint. An endpoint that was asked to leave closes its connections and accepts none once its work or its time has ended, whatever its version. If endpoints of a new version are replaced during its rollout, a sound version may be rolled back; those of the old version hide a bad one.

Change: Scheduler.record_broken_call, which the three places of Exchange that record such a call share, leaves out endpoints that have said that they leave (RoutingView.has_leaving_notice, for one start of the endpoint). An entry that was only removed is no such notice, since that of a crashed endpoint is removed, too. Responses of leaving endpoints, 5xx included, still count.

test_leaving_endpoints.RolloutTest: before, the three cases with a leaving notice failed (1 failure counted, 0 expected; stream cut with and without an end mark, call still queued) and the four without one passed; now all pass.

--- a/libs/gateway/src/dandelionlead/gateway/exchange.py
+++ b/libs/gateway/src/dandelionlead/gateway/exchange.py
@@ -503,8 +503,8 @@
                 lambda: self._record_lost_endpoint(endpoint, took_s),
             )
         elif not deps.scheduler.is_unreached(endpoint.service, now_s):
-            deps.scheduler.record_outcome(
-                endpoint, self._admitted.route.name, took_s, failed=True
+            deps.scheduler.record_broken_call(
+                endpoint, self._admitted.route.name, took_s
             )
         deps.log.event(
             "attempt_failed",
@@ -520,8 +520,8 @@
         """Records that an endpoint takes no connections, from any process."""
         scheduler = self._deps.scheduler
         scheduler.record_endpoint_lost(endpoint, clock.boottime())
-        scheduler.record_outcome(
-            endpoint, self._admitted.route.name, took_s, failed=True
+        scheduler.record_broken_call(
+            endpoint, self._admitted.route.name, took_s
         )
 
     def _record_begun_if_plain(self, run: runs.Run) -> None:
@@ -591,18 +591,19 @@
         first_event_delay_s = max(
             0.0, (outcome.first_event_s or now_s) - run.sent_s
         )
-        deps.scheduler.record_outcome(
-            response.endpoint,
-            self._admitted.route.name,
-            first_event_delay_s,
-            failed=not outcome.is_complete,
-        )
+        route_name = self._admitted.route.name
         if outcome.is_complete:
+            deps.scheduler.record_outcome(
+                response.endpoint, route_name, first_event_delay_s, failed=False
+            )
             deps.scheduler.health_tracker.record_response(
                 run.endpoint.endpoint_id, now_s, failed=False
             )
             self._crashes.record_completed()
             return True
+        deps.scheduler.record_broken_call(
+            response.endpoint, route_name, first_event_delay_s
+        )
         self._failure = outcome.failure
         self.progress.end_attempt(errors.RunState.RAN)
         if (
--- /dev/null
+++ b/libs/gateway/tests/test_leaving_endpoints.py
@@ -0,0 +1,150 @@
+"""Guards against the exit of a leaving endpoint that counts as a failure.
+
+An endpoint that was asked to leave closes its connections and accepts no more
+once it has ended its work, or when its time is up. That says nothing about its
+version, nor about the requests that it ran.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import engine_fakes
+import eventlet
+
+from dandelionlead.core import clock
+from dandelionlead.core import metrics
+from dandelionlead.gateway import call_reporting
+from dandelionlead.gateway import exchange
+from dandelionlead.gateway import serving
+from dandelionlead.gateway import supervisor
+from dandelionlead.routing import calls
+from dandelionlead.routing import model
+from dandelionlead.routing import routing_view
+from dandelionlead.routing import scheduling
+from dandelionlead.routing import shared_limits
+
+_SERVICE = model.Service(
+    "engines", 100, 0.0, model.EngineSpec(8, 30_000, False, False)
+)
+_ROUTE = model.Route(
+    "draft",
+    "h",
+    "/draft/",
+    model.CallKind.STREAMING,
+    (model.Target("engines", 1.0),),
+    timeout_s=10.0,
+    latency_objective_s=1.0,
+)
+_NEW_VERSION = "v2"
+
+
+class _LeavingCase(unittest.TestCase):
+    """One process and one engine, which runs a version that is on trial."""
+
+    def setUp(self) -> None:
+        self.view = routing_view.RoutingView()
+        self.endpoint = model.Endpoint(
+            "e0", "engines", "10.0.0.1", 1, "a", version=_NEW_VERSION
+        )
+        self.view.set_endpoint(self.endpoint)
+        order = model.RolloutOrder("engines", _NEW_VERSION, 60.0)
+        self.view.rollouts.start(order, 1, clock.boottime())
+        self.scheduler = scheduling.Scheduler(
+            self.view,
+            scheduling.ClusterMembership("n", "a", lambda: ["n"]),
+            shared_limits.RetryBudget(0.2, 50, 10),
+            random.Random(3),
+        )
+        self.log = engine_fakes.FakeLog()
+
+    def make_admitted_call(self, request_id: str) -> calls.AdmittedCall:
+        """Returns a call whose deadline is five seconds away."""
+        now_s = clock.boottime()
+        call = calls.Call(
+            request_id,
+            b"POST",
+            b"/draft/1",
+            "h",
+            "/draft/1",
+            [],
+            arrived_s=now_s,
+            caller_deadline_s=now_s + 5.0,
+            prompt_tokens=100,
+            max_output_tokens=40,
+        )
+        return calls.AdmittedCall(call, _ROUTE, None, _SERVICE, 1)
+
+
+class RolloutTest(_LeavingCase):
+    """Guards against a sound version that is rolled back as its engines leave.
+
+    Engines of both versions are replaced during a rollout. What they cut off
+    counted as failures of their version.
+    """
+
+    def make_exchange(
+        self, engine: engine_fakes.FakeEngine, request_id: str
+    ) -> exchange.Exchange:
+        """Returns the exchange of a call of 20 events."""
+        sender = engine_fakes.FakeSender({"e0": engine}, {request_id: 20})
+        codec = engine_fakes.FakeCodec({})
+        deps = exchange.Dependencies(
+            self.scheduler,
+            sender,
+            supervisor.RunSupervisor(
+                sender, codec, self.scheduler, self.view, self.log
+            ),
+            self.view,
+            self.log,
+            call_reporting.CallReporter(
+                codec, self.view, self.log, metrics.Registry({})
+            ),
+            serving.ServingState(),
+        )
+        return exchange.Exchange(
+            deps,
+            self.make_admitted_call(request_id),
+            engine_fakes.FakeResponseWriter(),
+        )
+
+    def test_calls_that_a_leaving_engine_cuts_do_not_count(self) -> None:
+        # What is known of the engine before it ends, whether it ends before it
+        # has begun the call, whether its streams have no end mark; the number
+        # of failures of its version.
+        cases = (
+            ("leaving notice", False, False, 0),
+            ("leaving notice", False, True, 0),
+            ("leaving notice", True, False, 0),
+            ("nothing", False, False, 1),
+            ("nothing", False, True, 1),
+            ("nothing", True, False, 1),
+            # The entry of an engine that has crashed is removed, too.
+            ("entry removed", False, False, 1),
+        )
+        for known, is_queued, has_no_end_mark, failure_count in cases:
+            with self.subTest(known, queued=is_queued, no_mark=has_no_end_mark):
+                self.setUp()
+                engine = engine_fakes.FakeEngine(self.endpoint)
+                engine.sends_length = not has_no_end_mark
+                if is_queued:
+                    engine.busy_until_s = clock.boottime() + 5.0
+                serving_thread = eventlet.spawn(
+                    self.make_exchange(engine, "r").serve
+                )
+                eventlet.sleep(0.25)
+                if known == "leaving notice":
+                    self.view.mark_leaving("e0")
+                elif known == "entry removed":
+                    self.view.remove_endpoint("e0")
+                engine.is_gone = True
+                serving_thread.wait()
+                counts = self.view.rollouts.get("engines").sum_counts(new=True)
+                self.assertEqual(counts.sent_count, 1)
+                self.assertEqual(counts.failure_count, failure_count)
+                self.assertEqual(counts.ended_count, failure_count)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/libs/routing/src/dandelionlead/routing/routing_view.py
+++ b/libs/routing/src/dandelionlead/routing/routing_view.py
@@ -227,6 +227,19 @@
             return True
         return endpoint_id not in self.endpoints
 
+    def has_leaving_notice(self, endpoint: model.Endpoint) -> bool:
+        """Whether one start of an endpoint has said that it is leaving.
+
+        That its entry was removed is no notice: the entry of an endpoint that
+        has crashed is removed, too.
+        """
+        departure = self._departures.get(endpoint.endpoint_id)
+        return (
+            departure is not None
+            and not departure.only_entry_removed
+            and departure.started_unix_ms == endpoint.started_unix_ms
+        )
+
     def list_open_endpoints(self, service: str) -> list[model.Endpoint]:
         """Returns the endpoints of a service that may receive new work.
 
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -350,6 +350,23 @@
             endpoint, route, duration_s, failed=failed
         )
 
+    def record_broken_call(
+        self, endpoint: model.Endpoint, route: str, duration_s: float
+    ) -> None:
+        """Records that an endpoint has not responded completely to a call.
+
+        It counts as a failure of its version, unless the endpoint has said that
+        it is leaving: its connections end then, whatever its version.
+
+        Args:
+            endpoint: Endpoint that the call was sent to.
+            route: Name of the route of the call.
+            duration_s: Duration of the call in seconds; for a stream, the time
+                to its first event.
+        """
+        if not self._view.has_leaving_notice(endpoint):
+            self.record_outcome(endpoint, route, duration_s, failed=True)
+
     def record_unreachable(
         self, endpoint: model.Endpoint, now_s: float
     ) -> None:
