Do not count the exit of a leaving endpoint as a crash of its requests

Cause: whether an endpoint is leaving was looked at when a connection broke, but not when a check 0.05 to 2 s later, or a failed connection, found it gone. If its notice reached the process in between, its exit was recorded as a crash of each request whose connection broke. Three of them quarantine a sound request, or all prompts with one of its parts, in all processes.

Change: Scheduler.record_endpoint_lost, which both ways share, records no crash for a start of an endpoint that has said that it is leaving. An entry that was only removed is no such notice and counts as before.

test_leaving_endpoints.CrashTest: before, the case with a late notice failed (refused as quarantined), those without news and with a removed entry passed; now all pass.

--- a/libs/gateway/src/dandelionlead/gateway/crash_detection.py
+++ b/libs/gateway/src/dandelionlead/gateway/crash_detection.py
@@ -154,12 +154,12 @@
         )
         if self._has_lost_path(endpoint):
             return True
-        self._scheduler.record_endpoint_lost(endpoint, clock.boottime())
-        self._log.event(
-            "endpoint_crashed",
-            endpoint=endpoint.endpoint_id,
-            reason=failure.reason,
-        )
+        if self._scheduler.record_endpoint_lost(endpoint, clock.boottime()):
+            self._log.event(
+                "endpoint_crashed",
+                endpoint=endpoint.endpoint_id,
+                reason=failure.reason,
+            )
         return True
 
 
--- a/libs/gateway/tests/test_leaving_endpoints.py
+++ b/libs/gateway/tests/test_leaving_endpoints.py
@@ -14,12 +14,15 @@
 import eventlet
 
 from dandelionlead.core import clock
+from dandelionlead.core import errors
 from dandelionlead.core import metrics
 from dandelionlead.gateway import call_reporting
+from dandelionlead.gateway import crash_detection
 from dandelionlead.gateway import exchange
 from dandelionlead.gateway import serving
 from dandelionlead.gateway import supervisor
 from dandelionlead.routing import calls
+from dandelionlead.routing import crashes
 from dandelionlead.routing import model
 from dandelionlead.routing import routing_view
 from dandelionlead.routing import scheduling
@@ -146,5 +149,55 @@
                 self.assertEqual(counts.ended_count, failure_count)
 
 
+class CrashTest(_LeavingCase):
+    """Guards against requests that are refused although no endpoint crashed.
+
+    Order of events: connections to an endpoint break while it ends, the notice
+    that it leaves arrives, and then a check finds that it is gone.
+    """
+
+    def find_absence(self, *_: object) -> errors.Failure:
+        """Returns the failure of an endpoint at whose address nothing is."""
+        return errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "refused")
+
+    def test_late_notice_shows_that_an_endpoint_has_not_crashed(self) -> None:
+        # What arrives after the connection broke; whether the request is
+        # refused after that has happened at some starts of the endpoint.
+        for news, is_refused in (
+            ("leaving notice", False),
+            ("nothing", True),
+            ("entry removed", True),
+        ):
+            with self.subTest(news):
+                self.setUp()
+                detector = crash_detection.CrashDetector(
+                    self.scheduler, self.view, self.log, self.find_absence
+                )
+                request_crashes = crash_detection.RequestCrashes(
+                    detector, self.scheduler, self.make_admitted_call("r")
+                )
+                for started_unix_ms in range(1, crashes.CRASH_LIMIT + 1):
+                    endpoint = model.Endpoint(
+                        "e0",
+                        "engines",
+                        "10.0.0.1",
+                        1,
+                        "a",
+                        started_unix_ms=started_unix_ms,
+                    )
+                    self.view.set_endpoint(endpoint)
+                    request_crashes.record_broken_connection(endpoint)
+                    if news == "leaving notice":
+                        self.view.mark_leaving("e0")
+                    elif news == "entry removed":
+                        self.view.remove_endpoint("e0")
+                    eventlet.sleep(0.7)
+                failure = request_crashes.find_failure()
+                self.assertEqual(failure is not None, is_refused)
+                self.assertEqual(
+                    "endpoint_crashed" in self.log.names, is_refused
+                )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -380,14 +380,21 @@
 
     def record_endpoint_lost(
         self, endpoint: model.Endpoint, now_s: float
-    ) -> None:
+    ) -> bool:
         """Records a crash for each request whose connection broke shortly ago.
 
         The same applies to each part of the prompts of these requests.
+
+        Returns:
+            Whether it is a crash. It is none if the endpoint has said that it
+            is leaving: it has ended as it was asked to.
         """
+        if self._view.has_leaving_notice(endpoint):
+            return False
         incarnation = endpoint.incarnation
         self.crash_tracker.record_endpoint_lost(incarnation, now_s)
         self.prompt_crash_tracker.record_endpoint_lost(incarnation, now_s)
+        return True
 
     def assess_reach(self, service: str, now_s: float) -> reach.Reach:
         """Returns whether this process reaches a service."""
