Show that a whole answer is cut if its engine exits during a final copy

A leaving engine ends its last run whole, with an end mark, while the request for the final copy of the run is in progress, and exits without a response. The stop is unknown then, so the run goes on from its copy after the last event. The engine with the copy has no further event and marks the end at once, which counts as a stream that was broken off: the caller, who has all events, is cut.

The doubt itself stays: an engine that is taken away in the middle of a final copy has stopped the run, and its server may mark the end of that stream. What is wrong is how the continuation is judged (StreamChecks.find_truncation).

--- a/libs/gateway/tests/test_leaving_endpoints.py
+++ b/libs/gateway/tests/test_leaving_endpoints.py
@@ -29,7 +29,7 @@
 from dandelionlead.routing import shared_limits
 
 _SERVICE = model.Service(
-    "engines", 100, 0.0, model.EngineSpec(8, 30_000, False, False)
+    "engines", 100, 0.0, model.EngineSpec(8, 30_000, True, False)
 )
 _ROUTE = model.Route(
     "draft",
@@ -41,6 +41,7 @@
     latency_objective_s=1.0,
 )
 _NEW_VERSION = "v2"
+_EVENT_COUNT = 8
 
 
 class _LeavingCase(unittest.TestCase):
@@ -79,19 +80,11 @@
         )
         return calls.AdmittedCall(call, _ROUTE, None, _SERVICE, 1)
 
-
-class RolloutTest(_LeavingCase):
-    """Guards against a sound version that is rolled back as its engines leave.
-
-    Engines of both versions are replaced during a rollout. What they cut off
-    counted as failures of their version.
-    """
-
     def make_exchange(
-        self, engine: engine_fakes.FakeEngine, request_id: str
+        self, sender: engine_fakes.FakeSender
     ) -> exchange.Exchange:
-        """Returns the exchange of a call of 20 events."""
-        sender = engine_fakes.FakeSender({"e0": engine}, {request_id: 20})
+        """Returns the exchange of a call with id `r`, whose caller is new."""
+        self.writer = engine_fakes.FakeResponseWriter()
         codec = engine_fakes.FakeCodec({})
         deps = exchange.Dependencies(
             self.scheduler,
@@ -107,11 +100,17 @@
             serving.ServingState(),
         )
         return exchange.Exchange(
-            deps,
-            self.make_admitted_call(request_id),
-            engine_fakes.FakeResponseWriter(),
+            deps, self.make_admitted_call("r"), self.writer
         )
 
+
+class RolloutTest(_LeavingCase):
+    """Guards against a sound version that is rolled back as its engines leave.
+
+    Engines of both versions are replaced during a rollout. What they cut off
+    counted as failures of their version.
+    """
+
     def test_calls_that_a_leaving_engine_cuts_do_not_count(self) -> None:
         # What is known of the engine before it ends, whether it ends before it
         # has begun the call, whether its streams have no end mark; the number
@@ -133,8 +132,11 @@
                 engine.sends_length = not has_no_end_mark
                 if is_queued:
                     engine.busy_until_s = clock.boottime() + 5.0
+                sender = engine_fakes.FakeSender(
+                    {"e0": engine}, {"r": _EVENT_COUNT}
+                )
                 serving_thread = eventlet.spawn(
-                    self.make_exchange(engine, "r").serve
+                    self.make_exchange(sender).serve
                 )
                 eventlet.sleep(0.25)
                 if known == "leaving notice":
@@ -199,5 +201,59 @@
                 )
 
 
+class _ExitingSender(engine_fakes.FakeSender):
+    """Lets an engine exit with its last run.
+
+    A request for a final copy arrives at the engine as the run ends, and is not
+    answered any more.
+    """
+
+    def send_control_request(
+        self,
+        endpoint: model.Endpoint,
+        request: tuple[str, str, bool],
+        timeout_s: float,
+        **options: object,
+    ) -> tuple[int, bytes] | errors.Failure:
+        """Copies a run; breaks the connection if the run is to be stopped."""
+        request_id, _, stops_source = request
+        engine = self._engines[endpoint.endpoint_id]
+        if engine.is_gone:
+            return errors.Failure(errors.Kind.ENDPOINT_UNREACHABLE, "gone")
+        if not stops_source:
+            return 200, b"copied"
+        while not engine.runs[request_id].is_over:
+            eventlet.sleep(0.01)
+        engine.is_gone = True
+        return errors.Failure(
+            errors.Kind.ENDPOINT_FAILED, "the connection was reset"
+        )
+
+
+class LastRunTest(_LeavingCase):
+    """Guards against a whole answer that is cut as its engine exits.
+
+    The engine ends its last run by itself while the final copy of the run is
+    requested, and exits without a response.
+    """
+
+    def test_stream_that_ended_during_its_final_copy_is_whole(self) -> None:
+        leaving = engine_fakes.FakeEngine(self.endpoint)
+        target = model.Endpoint("e1", "engines", "10.0.0.2", 1, "a")
+        engines = {"e0": leaving, "e1": engine_fakes.FakeEngine(target)}
+        sender = _ExitingSender(engines, {"r": _EVENT_COUNT})
+        serving_thread = eventlet.spawn(self.make_exchange(sender).serve)
+        eventlet.sleep(0.35)
+        self.view.set_endpoint(target)
+        self.view.mark_leaving("e0")
+        serving_thread.wait()
+        self.assertIn("run_stopped", self.log.names)
+        numbers = range(1, _EVENT_COUNT + 1)
+        self.assertEqual(
+            self.writer.body, b"".join(map(engine_fakes.make_event, numbers))
+        )
+        self.assertTrue(self.writer.has_ended)
+
+
 if __name__ == "__main__":
     unittest.main()
