Confirm a marked end by a resumed stream that has nothing to add

Callers saw: an engine that leaves ends its last stream, marked, while the request for the final copy of the run is in progress, and exits without an answer to it.

An empty resumed stream shows nothing by itself, since a faulty engine may send one. But the first engine had marked the end after the same event, and the second one, which marks its end too, has nothing to add: the two agree. Any event that arrives in between, and an end without a mark on either side, leave the stream cut as before; test_empty_resumed_stream_confirms_a_marked_end_alone drives ten cases, one of which failed before.

--- a/libs/gateway/src/dandelionlead/gateway/stream_checks.py
+++ b/libs/gateway/src/dandelionlead/gateway/stream_checks.py
@@ -32,6 +32,7 @@
         "_is_first_after_resumption",
         "_has_repeated_last_event",
         "_last_event",
+        "_is_end_marked",
         "_engine_last_id",
         "_is_consecutive",
     )
@@ -43,6 +44,8 @@
         self._is_first_after_resumption = False
         self._has_repeated_last_event = False
         self._last_event = b""
+        # Whether an engine has marked the end after the last accepted event.
+        self._is_end_marked = False
         # Last id in the present engine's stream, None before the first, and
         # whether its ids rise by one, None before the second.
         self._engine_last_id: int | None = None
@@ -85,6 +88,7 @@
         if failure is None:
             if complete_events:
                 self._last_event = sse.find_last_event(complete_events)
+                self._is_end_marked = False
             return complete_events
         splitter.rewind(previous_id, previous_count)
         return failure
@@ -94,19 +98,24 @@
     ) -> errors.Failure | None:
         """Returns why a stream that ended is incomplete; None if it may not be.
 
+        A resumed stream without an event shows nothing by itself: a faulty
+        engine may have sent it. But it confirms an end that the engine before
+        has marked, if it marks its own end too.
+
         Args:
             ends_with_connection: Whether the stream has no other end than that
                 of its connection.
         """
         if self._splitter.incomplete_event:
             return _make_failure("the stream ended inside an event")
-        if (
-            self._is_first_after_resumption
-            and not self._has_repeated_last_event
+        if self._is_first_after_resumption and not (
+            self._has_repeated_last_event
+            or (self._is_end_marked and not ends_with_connection)
         ):
             return _make_failure("the resumed stream ended without an event")
         if ends_with_connection and not self._splitter.event_count:
             return _make_failure("the stream ended without an event")
+        self._is_end_marked = not ends_with_connection
         return None
 
     def drop_incomplete_event(self) -> None:
--- a/libs/gateway/tests/test_stream_checks.py
+++ b/libs/gateway/tests/test_stream_checks.py
@@ -92,6 +92,37 @@
                     failure = checks.find_truncation(ends_with_connection=False)
                     self.assertEqual(failure is None, may_end)
 
+    # How the stream of the first engine ended (None if it broke off), how the
+    # resumed one, which has no event, did, and whether that may be the end.
+    EMPTY_RESUMED = (
+        ("mark", "mark", True),
+        ("mark", "connection", False),
+        ("connection", "mark", False),
+        ("connection", "connection", False),
+        (None, "mark", False),
+    )
+
+    def test_empty_resumed_stream_confirms_a_marked_end_alone(self) -> None:
+        """Guards against whole answers that are cut, and against cut ones."""
+        for first_end, second_end, may_end in self.EMPTY_RESUMED:
+            for event_id in (2, 3):
+                with self.subTest((first_end, second_end), event_id=event_id):
+                    checks = stream_checks.StreamChecks(0, 400)
+                    checks.accept(_make_events(1))
+                    if first_end is not None:
+                        checks.find_truncation(
+                            ends_with_connection=first_end == "connection"
+                        )
+                    checks.begin_resumed_stream()
+                    if event_id == 3:
+                        # The end was not that of the generation.
+                        checks.accept(_make_events(2))
+                        checks.begin_resumed_stream()
+                    failure = checks.find_truncation(
+                        ends_with_connection=second_end == "connection"
+                    )
+                    self.assertEqual(failure is None, may_end and event_id == 2)
+
     def test_each_engine_numbers_its_stream_anew(self) -> None:
         checks = stream_checks.StreamChecks(0, 400)
         self.assertTrue(checks.accept(_make_events(1, 2)))
