Reset unfinished requests when a stop ends, before the interpreter exits

Cause: after the last answers the process left its connections open while the interpreter exited, for about 0.1 s (run returned at 7.667 s, the connections ended at 7.755 s). A body that became whole meanwhile got no response, and the orderly end of its connection hid that the process had not read it.

Change: Shutdown.run closes all connections at its end, and resets those whose request has no response. Reads that this interrupts end with EOFError, which the connection handles.

--- a/libs/gateway/src/dandelionlead/gateway/shutdown.py
+++ b/libs/gateway/src/dandelionlead/gateway/shutdown.py
@@ -85,6 +85,10 @@
         self._open_calls.interrupt_unanswered()
         self._send_last_answers()
         self._open_calls.log_all("cut_at_stop")
+        # The interpreter takes about 0.1 s to exit. A request that arrived
+        # meanwhile on an open connection would get no response.
+        for http_listener in self._listeners:
+            http_listener.abort_connections()
 
     def _await_active_requests(self) -> None:
         """Waits until no request is active or the stop deadline has passed.
--- a/libs/http/src/dandelionlead/http/listener.py
+++ b/libs/http/src/dandelionlead/http/listener.py
@@ -99,6 +99,11 @@
         """Closes the listening socket; open connections are still served."""
         self._sock.close()
 
+    def abort_connections(self) -> None:
+        """Closes all connections at once, even those with a request."""
+        for conn in list(self.connections):
+            conn.abort()
+
     def _open_connection(
         self, sock: green_socket.GreenSocket, host: str
     ) -> None:
--- a/libs/http/src/dandelionlead/http/server.py
+++ b/libs/http/src/dandelionlead/http/server.py
@@ -277,11 +277,13 @@
                     eventlet.sleep(0)
         except (
             OSError,
+            EOFError,
             disconnect_watcher.CallerDisconnectedError,
             h11.LocalProtocolError,
         ):
             # The caller has disconnected, or the response is invalid or cut
-            # short. The handler logs the outcome of the request.
+            # short. The handler logs the outcome of the request. eventlet
+            # raises EOFError in a read that `abort` interrupts.
             pass
         finally:
             self.close()
@@ -302,6 +304,19 @@
                 )
             self._sock.close()
 
+    def abort(self) -> None:
+        """Closes the socket at once; resets it if a request has no response.
+
+        The caller of such a request could otherwise still send its body, and
+        would take the orderly end of the connection for the response.
+        """
+        if self._http.our_state is h11.SEND_RESPONSE:
+            with contextlib.suppress(OSError):
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, client.LINGER_RESET
+                )
+        self.close()
+
     def close_if_idle(self) -> None:
         """Shuts the connection down if no request is being read or served."""
         if self.is_idle:
