--- a/libs/gateway/src/dandelionlead/gateway/end_check.py
+++ b/libs/gateway/src/dandelionlead/gateway/end_check.py
@@ -71,8 +71,8 @@
 _REFUTING = frozenset({Evidence.TRUNCATED, Evidence.RUNNING})
 # Evidence that another request may change.
 _RETRIED = frozenset({Evidence.GONE, Evidence.REFUSED, Evidence.SILENT})
-# Evidence with which the end that a leaving endpoint has marked counts: it exits
-# with its last run.
+# Evidence with which the marked end of a leaving endpoint counts: the endpoint
+# exits with its last run.
 _EXPECTED_IF_LEAVING = frozenset(Evidence) - _REFUTING
 _CONFIRMING = frozenset({Evidence.ENDED})
 
