--- a/tools/soak_workers.py
+++ b/tools/soak_workers.py
@@ -146,7 +146,7 @@
                 that it ends until then.
             record_exit: Called after its process has ended.
             has_row_notice: Whether its row states that it leaves. Otherwise,
-                its next response is the first notice.
+                the head of its next stream is the first notice.
         """
 
         def end_process() -> None:
@@ -161,6 +161,8 @@
         if has_row_notice:
             self.leaving_since_s = clock.boottime()
             self._start_notice()
+        else:
+            eventlet.spawn_n(self._wait_for_notice, set(self._open_streams))
 
     def start_process(self, worker_id: str) -> None:
         """Starts again after its end, without anything of before."""
@@ -253,10 +255,17 @@
             self._open_streams.pop(request_id, None)
             self._exit_if_idle()
 
-    def _make_signed_headers(self, request_id: str) -> client.Headers:
-        if self.is_leaving and self._exits_after_s == float("inf"):
-            self._start_notice()
-        return super()._make_signed_headers(request_id)
+    def _wait_for_notice(self, earlier_ids: set[str]) -> None:
+        """Waits until the response to a later stream has stated the notice."""
+        while not self.is_dead:
+            has_stated = any(
+                response_writer.has_started and request_id not in earlier_ids
+                for request_id, response_writer in self._open_streams.items()
+            )
+            if has_stated and self.proxy.is_passing:
+                self._start_notice()
+                return
+            eventlet.sleep(fakes.EVENT_INTERVAL_S)
 
     def _start_notice(self) -> None:
         self._exits_after_s = clock.boottime() + _NOTICE_S
