--- a/tools/soak.py
+++ b/tools/soak.py
@@ -233,6 +233,7 @@
             sent_at_s + deadline_ms / 1e3,
             soak_system.EVENT_COUNT,
             is_entry_broken=broken_at_s >= sent_at_s,
+            last_broken_s=max(self._broken_at_s.values()),
         )
         is_key_revoked = (
             sent_at_s - self._key_revoked_at_s > _KEY_REVOKE_LIMIT_S
--- a/tools/soak_leaving.py
+++ b/tools/soak_leaving.py
@@ -13,6 +13,8 @@
 
     Attributes:
         description: The engine and what its address does after its exit.
+        header_notice_s: When it announced that it leaves, in seconds of
+            `clock.boottime`; infinite if its row stated it too.
         ended_s: When it ended the stream, in seconds of `clock.boottime`.
         is_whole: Whether it had sent all events.
         has_last_chunk: Whether it marked the end; otherwise, the stream ended
@@ -23,6 +25,7 @@
 
     __slots__ = (
         "description",
+        "header_notice_s",
         "ended_s",
         "is_whole",
         "has_last_chunk",
@@ -34,11 +37,13 @@
         description: str,
         ended_s: float,
         *,
+        header_notice_s: float = float("inf"),
         is_whole: bool,
         has_last_chunk: bool,
         excuse: str,
     ) -> None:
         self.description = description
+        self.header_notice_s = header_notice_s
         self.ended_s = ended_s
         self.is_whole = is_whole
         self.has_last_chunk = has_last_chunk
@@ -67,7 +72,12 @@
             self._whole_ends[request_id] = end
 
     def check_cut(
-        self, request_id: str, deadline_s: float, *, is_entry_broken: bool
+        self,
+        request_id: str,
+        deadline_s: float,
+        *,
+        is_entry_broken: bool,
+        last_broken_s: float,
     ) -> str:
         """Counts a stream that was cut after its caller had all events.
 
@@ -78,6 +88,9 @@
             request_id: Id of the request.
             deadline_s: Its deadline, in seconds of `clock.boottime`.
             is_entry_broken: Whether its entry was killed or suspended.
+            last_broken_s: When any entry was last killed or suspended, in
+                seconds of `clock.boottime`. It may be the only one that had
+                received a header.
 
         Returns:
             The violation; empty if there is none.
@@ -89,6 +102,8 @@
             excuse = "missing framing"
         elif is_entry_broken:
             excuse = "an entry that was killed or suspended"
+        elif last_broken_s >= end.header_notice_s:
+            excuse = "a notice to an entry that was killed or suspended"
         elif end.ended_s > deadline_s - _DEADLINE_SLACK_S:
             excuse = "the deadline"
         else:
--- a/tools/soak_observations.py
+++ b/tools/soak_observations.py
@@ -188,6 +188,7 @@
         event_count: int,
         *,
         is_entry_broken: bool,
+        last_broken_s: float,
     ) -> None:
         """Records a violation if a whole stream was cut at its end.
 
@@ -197,11 +198,15 @@
             deadline_s: Deadline of the request in seconds of `clock.boottime`.
             event_count: Number of events of a whole stream.
             is_entry_broken: Whether its entry was killed or suspended.
+            last_broken_s: When any entry was last killed or suspended.
         """
         if response.is_complete or response.body != _make_stream(event_count):
             return
         violation = self.leaving_ends.check_cut(
-            request_id, deadline_s, is_entry_broken=is_entry_broken
+            request_id,
+            deadline_s,
+            is_entry_broken=is_entry_broken,
+            last_broken_s=last_broken_s,
         )
         if violation:
             self.add_violation(violation)
--- a/tools/soak_workers.py
+++ b/tools/soak_workers.py
@@ -78,6 +78,7 @@
         self._exit: Callable[[], None] | None = None
         self._exit_text = ""
         self._exits_after_s = float("inf")
+        self._leaving_ends: list[soak_leaving.StreamEnd] = []
         self.is_leaving = False
         self.rejects_copies = False
         self.born_ms = _read_unix_ms()
@@ -117,6 +118,9 @@
             How each of its streams has ended, by request id.
         """
         self.is_dead = True
+        for end in self._leaving_ends:
+            end.excuse = end.excuse or "a crash of the engine"
+        self._leaving_ends.clear()
         ends: dict[str, str] = {}
         for request_id, response_writer in self._open_streams.items():
             end = "with its connection"
@@ -150,6 +154,7 @@
         """
 
         def end_process() -> None:
+            self._leaving_ends.clear()
             self.end_process(acceptance, must_end_chunks=False)
             record_exit()
 
@@ -250,6 +255,7 @@
             )
             if self.is_leaving and not self.is_dead:
                 end = self._make_stream_end(request_id, response_writer)
+                self._leaving_ends.append(end)
                 self._record_end(request_id, end)
         finally:
             self._open_streams.pop(request_id, None)
@@ -288,6 +294,11 @@
         return soak_leaving.StreamEnd(
             self._exit_text,
             clock.boottime(),
+            header_notice_s=(
+                self._exits_after_s - _NOTICE_S
+                if self.leaving_since_s == float("inf")
+                else float("inf")
+            ),
             is_whole=self.events_sent[request_id] == self.stream_length,
             has_last_chunk=isinstance(response_writer, server.ResponseWriter)
             and response_writer.has_ended,
