--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -350,6 +350,23 @@
             endpoint, route, duration_s, failed=failed
         )
 
+    def record_broken_call(
+        self, endpoint: model.Endpoint, route: str, duration_s: float
+    ) -> None:
+        """Records that an endpoint has not responded completely to a call.
+
+        It counts as a failure of its version, unless the endpoint has said that
+        it is leaving: its connections end then, whatever its version.
+
+        Args:
+            endpoint: Endpoint that the call was sent to.
+            route: Name of the route of the call.
+            duration_s: Duration of the call in seconds; for a stream, the time
+                to its first event.
+        """
+        if not self._view.has_leaving_notice(endpoint):
+            self.record_outcome(endpoint, route, duration_s, failed=True)
+
     def record_unreachable(
         self, endpoint: model.Endpoint, now_s: float
     ) -> None:
@@ -363,14 +380,21 @@
 
     def record_endpoint_lost(
         self, endpoint: model.Endpoint, now_s: float
-    ) -> None:
+    ) -> bool:
         """Records a crash for each request whose connection broke shortly ago.
 
         The same applies to each part of the prompts of these requests.
+
+        Returns:
+            Whether it is a crash. It is none if the endpoint has said that it
+            is leaving: it has ended as it was asked to.
         """
+        if self._view.has_leaving_notice(endpoint):
+            return False
         incarnation = endpoint.incarnation
         self.crash_tracker.record_endpoint_lost(incarnation, now_s)
         self.prompt_crash_tracker.record_endpoint_lost(incarnation, now_s)
+        return True
 
     def assess_reach(self, service: str, now_s: float) -> reach.Reach:
         """Returns whether this process reaches a service."""
