--- a/tools/soak_workers.py
+++ b/tools/soak_workers.py
@@ -78,6 +78,7 @@
         self._exit: Callable[[], None] | None = None
         self._exit_text = ""
         self._exits_after_s = float("inf")
+        self._leaving_ends: list[soak_leaving.StreamEnd] = []
         self.is_leaving = False
         self.rejects_copies = False
         self.born_ms = _read_unix_ms()
@@ -117,6 +118,9 @@
             How each of its streams has ended, by request id.
         """
         self.is_dead = True
+        for end in self._leaving_ends:
+            end.excuse = end.excuse or "a crash of the engine"
+        self._leaving_ends.clear()
         ends: dict[str, str] = {}
         for request_id, response_writer in self._open_streams.items():
             end = "with its connection"
@@ -146,10 +150,11 @@
                 that it ends until then.
             record_exit: Called after its process has ended.
             has_row_notice: Whether its row states that it leaves. Otherwise,
-                its next response is the first notice.
+                the head of its next stream is the first notice.
         """
 
         def end_process() -> None:
+            self._leaving_ends.clear()
             self.end_process(acceptance, must_end_chunks=False)
             record_exit()
 
@@ -161,6 +166,8 @@
         if has_row_notice:
             self.leaving_since_s = clock.boottime()
             self._start_notice()
+        else:
+            eventlet.spawn_n(self._wait_for_notice, set(self._open_streams))
 
     def start_process(self, worker_id: str) -> None:
         """Starts again after its end, without anything of before."""
@@ -248,15 +255,23 @@
             )
             if self.is_leaving and not self.is_dead:
                 end = self._make_stream_end(request_id, response_writer)
+                self._leaving_ends.append(end)
                 self._record_end(request_id, end)
         finally:
             self._open_streams.pop(request_id, None)
             self._exit_if_idle()
 
-    def _make_signed_headers(self, request_id: str) -> client.Headers:
-        if self.is_leaving and self._exits_after_s == float("inf"):
-            self._start_notice()
-        return super()._make_signed_headers(request_id)
+    def _wait_for_notice(self, earlier_ids: set[str]) -> None:
+        """Waits until the response to a later stream has stated the notice."""
+        while not self.is_dead:
+            has_stated = any(
+                response_writer.has_started and request_id not in earlier_ids
+                for request_id, response_writer in self._open_streams.items()
+            )
+            if has_stated and self.proxy.is_passing:
+                self._start_notice()
+                return
+            eventlet.sleep(fakes.EVENT_INTERVAL_S)
 
     def _start_notice(self) -> None:
         self._exits_after_s = clock.boottime() + _NOTICE_S
@@ -279,6 +294,11 @@
         return soak_leaving.StreamEnd(
             self._exit_text,
             clock.boottime(),
+            header_notice_s=(
+                self._exits_after_s - _NOTICE_S
+                if self.leaving_since_s == float("inf")
+                else float("inf")
+            ),
             is_whole=self.events_sent[request_id] == self.stream_length,
             has_last_chunk=isinstance(response_writer, server.ResponseWriter)
             and response_writer.has_ended,
