Take a deleted entry for an announced exit only if the endpoint went on

So a deletion counts once it has been known for 1 s. Before that an endpoint that leaves is still there to be asked, so no whole answer is lost by it; after a suspension the deletion is new.

--- a/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
+++ b/libs/gateway/src/dandelionlead/gateway/endpoint_notices.py
@@ -31,7 +31,7 @@
 
     def is_leaving(self, endpoint: model.Endpoint) -> bool:
         """Whether this start of an endpoint has announced that it leaves."""
-        return self._view.is_exit_announced(endpoint)
+        return self._view.is_exit_announced(endpoint, clock.boottime())
 
     def handle(
         self, endpoint: model.Endpoint, head: calls.EndpointResponseHead
--- a/libs/routing/src/dandelionlead/routing/routing_view.py
+++ b/libs/routing/src/dandelionlead/routing/routing_view.py
@@ -19,6 +19,9 @@
 # Time for which a closed zone may still receive work. It is shorter than the
 # time that the operator allows, since the order may reach this process late.
 ZONE_CLOSING_GRACE_S = 2.0
+# Shortest time for which an endpoint that leaves goes on after its entry was
+# deleted; operators state 2 s or more.
+_MIN_SERVICE_AFTER_DELETION_S = 1.0
 
 
 class _Departure:
@@ -31,17 +34,18 @@
         started_unix_ms: Start time of the incarnation in Unix milliseconds.
         only_entry_removed: Whether the entry was removed and nothing else
             showed that the endpoint is leaving.
-        is_entry_deleted: Whether the entry was deleted at its source. It may
-            also have been removed here, because another instance has the
-            address or the entry can no longer be decoded.
+        entry_deleted_s: Instant at which this process found that the entry was
+            deleted at its source, in seconds; infinite if it was not. An entry
+            may also have been removed here alone, because another instance has
+            the address or the entry can no longer be decoded.
     """
 
-    __slots__ = ("started_unix_ms", "only_entry_removed", "is_entry_deleted")
+    __slots__ = ("started_unix_ms", "only_entry_removed", "entry_deleted_s")
 
     def __init__(self, started_unix_ms: int, only_entry_removed: bool) -> None:
         self.started_unix_ms = started_unix_ms
         self.only_entry_removed = only_entry_removed
-        self.is_entry_deleted = False
+        self.entry_deleted_s = float("inf")
 
     def is_undone_by(self, entry: model.Endpoint) -> bool:
         """Whether an entry shows that the endpoint accepts work again.
@@ -162,7 +166,7 @@
         return previous is None or previous.differs_for_routing(endpoint)
 
     def remove_endpoint(
-        self, endpoint_id: str, *, is_deleted: bool = False
+        self, endpoint_id: str, *, deleted_s: float = float("inf")
     ) -> None:
         """Removes the entry of an endpoint and marks it as leaving.
 
@@ -170,12 +174,12 @@
 
         Args:
             endpoint_id: Id of the endpoint.
-            is_deleted: Whether the entry was deleted at its source.
+            deleted_s: Instant at which this process found that the entry was
+                deleted at its source, in seconds; infinite if it was not.
         """
         if endpoint_id in self.endpoints:
             self.mark_leaving(endpoint_id, entry_removed=True)
-            if is_deleted:
-                self._departures[endpoint_id].is_entry_deleted = True
+            self._departures[endpoint_id].entry_deleted_s = deleted_s
             del self.endpoints[endpoint_id]
 
     def mark_leaving(
@@ -252,17 +256,24 @@
             and departure.started_unix_ms == endpoint.started_unix_ms
         )
 
-    def is_exit_announced(self, endpoint: model.Endpoint) -> bool:
+    def is_exit_announced(self, endpoint: model.Endpoint, now_s: float) -> bool:
         """Whether one start of an endpoint has announced that it leaves.
 
-        Some endpoints only delete their entry. It is deleted as well if an
-        endpoint does not renew it, but some seconds after its last heartbeat.
+        Some endpoints only delete their entry, and go on for longer than
+        `_MIN_SERVICE_AFTER_DELETION_S`. The entry of one that has crashed is
+        deleted, too; a process that was suspended meanwhile finds the deletion
+        and the broken connections at the same time.
+
+        Args:
+            endpoint: The endpoint.
+            now_s: Present instant, in seconds.
         """
         departure = self._departures.get(endpoint.endpoint_id)
         return self.has_leaving_notice(endpoint) or (
             departure is not None
-            and departure.is_entry_deleted
             and departure.started_unix_ms == endpoint.started_unix_ms
+            and now_s - departure.entry_deleted_s
+            >= _MIN_SERVICE_AFTER_DELETION_S
         )
 
     def list_open_endpoints(self, service: str) -> list[model.Endpoint]:
