--- a/libs/gateway/src/dandelionlead/gateway/end_check.py
+++ b/libs/gateway/src/dandelionlead/gateway/end_check.py
@@ -6,9 +6,9 @@
 forwarder, an inherited listening socket and a paused process accept too.
 Therefore the endpoint itself is asked.
 
-An endpoint that leaves closes the connection and answers no more either, since
-it exits with its last run. Its silence shows nothing; the end that it has
-marked counts.
+An endpoint that leaves also closes the connection and answers no further
+request, since it exits with its last run. Its silence shows nothing, and the
+end that it has marked counts.
 """
 
 from __future__ import annotations
--- a/libs/gateway/src/dandelionlead/gateway/peer_state.py
+++ b/libs/gateway/src/dandelionlead/gateway/peer_state.py
@@ -435,10 +435,10 @@
     ) -> dict[str, health.Evidence]:
         """Returns the evidence about endpoints, without that about paths.
 
-        A process that reaches no endpoint of a service tells its peers nothing
-        about single ones: either it is cut off, or they fail there, too. While
-        it is in doubt whether it reaches the service, it goes on telling what
-        it told before, and nothing new.
+        A process that reaches no endpoint of a service states nothing about
+        single ones: either it is cut off, or its peers fail there, too. While
+        it is in doubt whether it reaches the service, it repeats what it has
+        stated before, and states nothing new.
         """
         scheduler = self._process_state.scheduler
         endpoints = self._process_state.view.endpoints
--- a/libs/gateway/src/dandelionlead/gateway/stream_checks.py
+++ b/libs/gateway/src/dandelionlead/gateway/stream_checks.py
@@ -43,6 +43,7 @@
         self._received_event_count = 0
         self._is_first_after_resumption = False
         self._has_repeated_last_event = False
+        # Bytes of the last accepted event that has an id.
         self._last_event = b""
         # Whether an engine has marked the end after the last accepted event.
         self._is_end_marked = False
--- a/libs/routing/src/dandelionlead/routing/routing_view.py
+++ b/libs/routing/src/dandelionlead/routing/routing_view.py
@@ -244,10 +244,10 @@
         return endpoint_id not in self.endpoints
 
     def has_leaving_notice(self, endpoint: model.Endpoint) -> bool:
-        """Whether one start of an endpoint has said that it is leaving.
+        """Whether one start of an endpoint has stated that it is leaving.
 
-        That its entry was removed is no notice: the entry of an endpoint that
-        has crashed is removed, too.
+        The removal of its entry is no such statement: the entry of an endpoint
+        that has crashed is removed, too.
         """
         departure = self._departures.get(endpoint.endpoint_id)
         return (
--- a/libs/routing/src/dandelionlead/routing/scheduling.py
+++ b/libs/routing/src/dandelionlead/routing/scheduling.py
@@ -355,8 +355,8 @@
     ) -> None:
         """Records that an endpoint has not responded completely to a call.
 
-        It counts as a failure of its version, unless the endpoint has said that
-        it is leaving: its connections end then, whatever its version.
+        It counts as a failure of its version, unless the endpoint has stated
+        that it is leaving: its connections end then, whatever its version.
 
         Args:
             endpoint: Endpoint that the call was sent to.
@@ -386,7 +386,7 @@
         The same applies to each part of the prompts of these requests.
 
         Returns:
-            Whether it is a crash. It is none if the endpoint has said that it
+            Whether it is a crash. It is none if the endpoint has stated that it
             is leaving: it has ended as it was asked to.
         """
         if self._view.has_leaving_notice(endpoint):
